Keep to the share of an upstream's connections; wait for a service's upstreams

Cause: each request that may not be repeated opens a new connection and left it in the pool, so 8 entry hosts went over an upstream's 110 connections, which it then closed unread. The first upstream to announce itself got every slot of its region. Ruled out: claims (no try was refused by a keeper without an earlier 'Broken' one; reasons are counted by the load tool now), lost keepers. Change: a pool closes idle connections before it goes over its share; a service that never had owners waits up to 3 s until no upstream came for 0.5 s.

--- a/src/cell/ownership.rs
+++ b/src/cell/ownership.rs
@@ -21,6 +21,11 @@
 const LOAD_WINDOW_MS: u64 = 1_000;
 /// The weight of the newest window in the moving average.
 const LOAD_NEWEST_SHARE: f64 = 0.4;
+/// A service whose slots never had owners waits this long after the newest upstream came, in
+/// milliseconds, so that the first one doesn't get all of them.
+const SETTLE_MS: u64 = 500;
+/// A service without owners waits at most this long, in milliseconds.
+const SETTLE_MAX_MS: u64 = 3_000;
 /// A key is pinned when it alone brings this share of the mean upstream's load.
 const PIN_ABOVE_SHARE: f64 = 0.25;
 /// A pinned key goes back to its hash slot below this share.
@@ -146,6 +151,8 @@
     loads: BTreeMap<String, Load>,
     window_since: Mono,
     rebalance: bool,
+    newest_upstream_at: Mono,
+    unowned_since: BTreeMap<String, Mono>,
 }
 
 impl Ownership {
@@ -161,6 +168,8 @@
             loads: BTreeMap::new(),
             window_since: elected_at,
             rebalance: false,
+            newest_upstream_at: elected_at,
+            unowned_since: BTreeMap::new(),
         }
     }
 
@@ -185,6 +194,7 @@
 
     /// Counts a newly announced upstream as one that holds a grant, until its first heartbeat.
     pub fn expect_upstream(&mut self, id: UpstreamId, now: Mono) {
+        self.newest_upstream_at = now;
         let until = now.plus(self.timing.grant_hold_ms);
         let lease = GrantLease { until, acked: 0 };
         self.grants.entry(id).or_insert(lease);
@@ -294,6 +304,9 @@
                 slots: freeze,
             }));
         }
+        if self.is_settling(state, service, now) {
+            return;
+        }
         let released = self.released(state, service, now);
         let assign = |(slot, owner): (SlotId, UpstreamId)| Assignment {
             service: service.to_string(),
@@ -318,6 +331,18 @@
         }
     }
 
+    /// Tells whether a service that never had owners should wait for more upstreams.
+    fn is_settling(&mut self, state: &State, service: &str, now: Mono) -> bool {
+        let division = state.divisions.get(service);
+        let is_owned = division.is_some_and(|d| d.slots.iter().any(|s| s.fence > 0));
+        if is_owned || state.eligible(service).is_empty() {
+            self.unowned_since.remove(service);
+            return false;
+        }
+        let since = self.unowned_since.entry(service.to_string()).or_insert(now);
+        now.since(*since) < SETTLE_MAX_MS && now.since(self.newest_upstream_at) < SETTLE_MS
+    }
+
     fn plan(&self, state: &State, service: &str, now: Mono) -> Plan {
         let mut capacity = BTreeMap::new();
         for id in state.eligible(service) {
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -292,6 +292,11 @@
             f.requests, f.answers, f.not_run, f.unknown, f.p50_ms, f.p99_ms, f.p999_ms
         ))?;
     }
+    for (name, f) in &summary.services {
+        for (reason, tries) in &f.reasons {
+            out.line(format!("{name}: {tries} tries without an answer: {reason}"))?;
+        }
+    }
     out.line(format!(
         "imbalance (most over mean runs): {:.2}",
         summary.imbalance
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -89,7 +89,7 @@
         let text = "--service NAME or ADDRESS is missing";
         return Err(CliError::Usage(text.to_string()));
     }
-    if !(args.profile.rate > 0.0) {
+    if args.profile.rate.is_nan() || args.profile.rate <= 0.0 {
         return Err(CliError::Usage("--rate must be above 0".to_string()));
     }
     args.profile.kinds = vec![args.kind];
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -15,6 +15,8 @@
 use super::pool::Pool;
 use super::table::Table;
 
+/// Connections of this host that an upstream may not have seen closed yet.
+const CLOSING_CONNECTIONS: usize = 2;
 /// At most this share of a service's upstreams may be ejected at once.
 const EJECTED_SHARE_MAX: f64 = 0.5;
 
@@ -43,12 +45,14 @@
         recorder: Recorder,
         now: Mono,
     ) -> Member {
-        let places = (a.connections as usize / share.hosts.max(1)).max(1);
+        let connections = (a.connections as usize / share.hosts.max(1)).max(1);
+        // A connection that is being closed still counts at the upstream.
+        let places = connections.saturating_sub(CLOSING_CONNECTIONS).max(1);
         Member {
             id,
             name: a.name.clone(),
             address: a.address,
-            pool: Pool::new(a.address),
+            pool: Pool::new(a.address, places),
             gate: Gate::new(a.slots as usize, places, share.queue_max),
             health: Mutex::new(Health::new(now)),
             recorder,
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to one upstream, and proof that they are alive.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -30,6 +31,24 @@
     pub proven_at: Mono,
     /// Whether it was used before.
     pub reused: bool,
+    _counted: Counted,
+}
+
+/// Counts an open connection until it is dropped.
+#[derive(Debug)]
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(open: &Arc<AtomicUsize>) -> Counted {
+        open.fetch_add(1, Ordering::SeqCst);
+        Counted(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// Which connection a request may use.
@@ -45,18 +64,27 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     address: SocketAddr,
+    open_max: usize,
+    open: Arc<AtomicUsize>,
     idle: Arc<Mutex<Vec<Connection>>>,
 }
 
 impl Pool {
-    /// Returns an empty pool.
-    pub fn new(address: SocketAddr) -> Pool {
+    /// Returns an empty pool that keeps to `open_max` connections by closing idle ones.
+    pub fn new(address: SocketAddr, open_max: usize) -> Pool {
         Pool {
             address,
+            open_max: open_max.max(1),
+            open: Arc::default(),
             idle: Arc::default(),
         }
     }
 
+    /// Returns the number of open connections, idle ones included.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
     /// Returns an idle connection that is fresh enough, or opens one.
     pub async fn take(&self, proof: Proof, now: Mono) -> Result<Connection, NotConnected> {
         while let Some(connection) = self.pop(proof, now) {
@@ -64,6 +92,7 @@
                 return Ok(connection);
             }
         }
+        self.make_room();
         self.connect(now).await
     }
 
@@ -82,6 +111,14 @@
         self.lock().clear();
     }
 
+    /// Closes the idle connections that a new one would bring above the limit, oldest first.
+    fn make_room(&self) {
+        let mut idle = self.lock();
+        while self.open() >= self.open_max && !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
     fn pop(&self, proof: Proof, now: Mono) -> Option<Connection> {
         let mut idle = self.lock();
         idle.retain(|c| now.since(c.proven_at) < IDLE_MAX_MS);
@@ -105,6 +142,7 @@
             sender,
             proven_at: now,
             reused: false,
+            _counted: Counted::new(&self.open),
         })
     }
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -60,6 +60,8 @@
     pub told: BTreeMap<Told, u64>,
     /// Latency of answered requests, in microseconds.
     pub latency: Histogram<u64>,
+    /// Tries that got no answer, by the reason given.
+    pub reasons: BTreeMap<String, u64>,
     /// The longest time without an answer while requests were waiting, in milliseconds.
     pub longest_gap_ms: u64,
     last_answer: Option<Instant>,
@@ -84,6 +86,8 @@
     pub p999_ms: f64,
     /// The longest time between two answers, in milliseconds.
     pub longest_gap_ms: u64,
+    /// Tries that got no answer, by the reason given.
+    pub reasons: BTreeMap<String, u64>,
 }
 
 impl Tally {
@@ -91,6 +95,7 @@
         let latency = Histogram::new_with_max(LATENCY_MAX_US, LATENCY_DIGITS);
         Tally {
             told: BTreeMap::new(),
+            reasons: BTreeMap::new(),
             latency: latency.expect("the histogram's bounds are valid"),
             longest_gap_ms: 0,
             last_answer: None,
@@ -125,6 +130,7 @@
             p99_ms: ms(0.99),
             p999_ms: ms(0.999),
             longest_gap_ms: self.longest_gap_ms,
+            reasons: self.reasons.clone(),
         }
     }
 }
@@ -299,6 +305,12 @@
     let foreign = told == Told::Answered
         && answer.is_some_and(|a| !a.text().contains(&format!("{} ", request.path)));
     let mut results = shared.results();
+    if told != Told::Answered {
+        let reason = reason_of(answer);
+        if let Some(tally) = results.tallies.get_mut(&request.service) {
+            *tally.reasons.entry(reason).or_default() += 1;
+        }
+    }
     results.foreign_answers += u64::from(foreign);
     if let Some(id) = &request.id {
         results.tries.push(Try {
@@ -308,3 +320,13 @@
         });
     }
 }
+
+/// Returns the reason that a refusal's body gives.
+fn reason_of(answer: Option<&Answer>) -> String {
+    let Some(answer) = answer else {
+        return "no-answer".to_string();
+    };
+    let body: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
+    let reason = body.and_then(|b| b.get("reason")?.as_str().map(str::to_string));
+    reason.unwrap_or_else(|| answer.status.to_string())
+}
