--- a/src/cell/replica.rs
+++ b/src/cell/replica.rs
@@ -22,6 +22,8 @@
 
 /// How long a renewal waits for a change before it is answered all the same, in milliseconds.
 pub const RENEWAL_HOLD_MS: u64 = 500;
+/// Between two looks at what the leases call for, in milliseconds.
+const DECIDE_EVERY_MS: u64 = 50;
 /// A learner that lacks at most this many entries becomes a voter.
 const CATCH_UP_ENTRIES: u64 = 8;
 
@@ -207,6 +209,7 @@
     waiting: VecDeque<Waiting<T>>,
     proposals: BTreeMap<u64, Proposal<T>>,
     decided_index: u64,
+    decide_at: Mono,
     joins: BTreeMap<String, ReplicaId>,
 }
 
@@ -482,6 +485,7 @@
             waiting: VecDeque::new(),
             proposals: BTreeMap::new(),
             decided_index: 0,
+            decide_at: Mono::default(),
             joins: BTreeMap::new(),
         });
     }
@@ -505,9 +509,10 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if lead.decided_index > self.applied {
+        if lead.decided_index > self.applied || now < lead.decide_at {
             return;
         }
+        lead.decide_at = now.plus(DECIDE_EVERY_MS);
         for command in lead.ownership.decide(&self.state, now) {
             let payload = Payload::Command(encode(&command));
             if let Ok(index) = self.raft.propose(payload, now) {
@@ -617,6 +622,9 @@
 }
 
 /// Returns the membership that brings a joining replica one step further.
+///
+/// The host's earlier identity goes first: its disk is gone, so it can only weaken the quorum, and a
+/// host that loses one disk after another would otherwise leave dead voters behind.
 fn next_membership(
     raft: &Raft,
     current: &Membership,
@@ -624,12 +632,14 @@
     id: ReplicaId,
 ) -> Option<Membership> {
     let mut next = current.clone();
-    if current.voters.contains_key(&id) {
-        let mut replaced = current.voters.iter();
-        let (old, _) = replaced.find(|(old, h)| *h == host && **old != id)?;
+    let mut earlier = current.voters.iter();
+    if let Some((old, _)) = earlier.find(|(old, h)| *h == host && **old != id) {
         next.voters.remove(old);
         return Some(next);
     }
+    if current.voters.contains_key(&id) {
+        return None;
+    }
     if !current.learners.contains_key(&id) {
         next.learners.retain(|_, h| h != host);
         next.learners.insert(id, host.to_string());
