--- a/tests/schedule/mod.rs
+++ b/tests/schedule/mod.rs
@@ -159,6 +159,8 @@
     name: String,
     instance: u64,
     id: Option<UpstreamId>,
+    /// All ids that it ever had: its address stays the same.
+    ids: BTreeSet<UpstreamId>,
     version: u64,
     lease_until: u64,
     slots: BTreeMap<SlotId, u64>,
@@ -167,6 +169,7 @@
     frozen_until: u64,
     cut_until: u64,
     is_lost: bool,
+    is_leaving: bool,
     rate: f64,
 }
 
@@ -176,6 +179,7 @@
     pub runs: Vec<Run>,
     pub accepted: BTreeMap<u64, BTreeSet<u64>>,
     pub disagreements: usize,
+    pub trace: bool,
     plan: Plan,
     rng: Pcg64Mcg,
     hosts: Vec<Host>,
@@ -265,6 +269,7 @@
             name: format!("{SERVICE}-{n}"),
             instance: 1,
             id: None,
+            ids: BTreeSet::new(),
             version: 0,
             lease_until: 0,
             slots: BTreeMap::new(),
@@ -273,6 +278,7 @@
             frozen_until: 0,
             cut_until: 0,
             is_lost: false,
+            is_leaving: false,
             rate: rate(),
         });
         let upstreams = upstreams.collect();
@@ -281,6 +287,7 @@
             runs: Vec::new(),
             accepted: BTreeMap::new(),
             disagreements: 0,
+            trace: false,
             plan,
             rng,
             hosts,
@@ -525,6 +532,11 @@
     }
 
     fn finish(&mut self, n: usize, output: Output<Token>) {
+        if self.trace {
+            for event in &output.events {
+                println!("{} c{n} {event:?}", self.now);
+            }
+        }
         for msg in output.messages {
             if self.is_dropped() {
                 continue;
@@ -677,6 +689,7 @@
             Token::Announce { place } => match reply {
                 Reply::Applied(Outcome::Announced(id)) => {
                     self.upstreams[place].id = Some(id);
+                    self.upstreams[place].ids.insert(id);
                     self.upstreams[place].ask_at = self.now;
                 }
                 _ => self.upstreams[place].target = other,
@@ -708,13 +721,13 @@
                 version,
                 slots,
             }) if version >= upstream.version => {
-                if slots.as_ref().is_some_and(Vec::is_empty) && upstream.version > 0 {
-                    // It was drained, or never had work: it starts again as another instance.
+                if slots.is_none() && upstream.slots.is_empty() && upstream.is_leaving {
+                    // It was drained and said so: it starts again as another instance.
+                    upstream.is_leaving = false;
                     upstream.id = None;
                     upstream.instance += 1;
                     upstream.version = 0;
                     upstream.lease_until = 0;
-                    upstream.slots.clear();
                     return;
                 }
                 if let Some(slots) = slots {
@@ -748,7 +761,10 @@
             let Ok((flight, _)) = router.flights.enter(o.upstream, router.table.version) else {
                 continue;
             };
-            let Some(upstream) = self.upstreams.iter().position(|u| u.id == Some(o.upstream))
+            let Some(upstream) = self
+                .upstreams
+                .iter()
+                .position(|u| u.ids.contains(&o.upstream))
             else {
                 continue;
             };
@@ -780,7 +796,8 @@
             return;
         }
         self.runs.push(Run {
-            upstream: format!("{}/{}", upstream.name, upstream.instance),
+            // Announcing again doesn't make it another server: the process is the same.
+            upstream: upstream.name.clone(),
             key: Some(KeyHash(request.key)),
             slot: Some(request.slot),
             fence: Some(request.fence),
@@ -842,7 +859,7 @@
             let ask = Ask::Apply(Command::Leave(id));
             self.push(1, Event::Ask(n, ask, Token::Join));
         }
-        self.upstreams[place].cut_until = self.now + 100;
+        self.upstreams[place].is_leaving = true;
     }
 
     /// Loses a disk, as long as the others are voters that are up: what the cell must bear.
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -29,7 +29,10 @@
     };
     let received = HybridClock::default().merge(ahead);
     assert!(received > ahead);
-    let merged = merge(vec![vec![stamped("b", received)], vec![stamped("a", ahead)]]);
+    let merged = merge(vec![
+        vec![stamped("b", received)],
+        vec![stamped("a", ahead)],
+    ]);
     assert_eq!(merged[0].host, "a");
 }
 
@@ -39,7 +42,12 @@
     let rows: Vec<&str> = page.lines().filter(|l| l.starts_with("| 1")).collect();
     let expected: Vec<String> = CATALOGUE
         .iter()
-        .map(|d| format!("| {} | {:?} | {} | {} |", d.number, d.severity, d.name, d.text))
+        .map(|d| {
+            format!(
+                "| {} | {:?} | {} | {} |",
+                d.number, d.severity, d.name, d.text
+            )
+        })
         .collect();
     assert_eq!(rows, expected);
 }
