--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! What the commands share: errors with exit codes, answers for people and scripts.
 
+use std::ffi::OsString;
 use std::fmt;
 use std::io::{self, IsTerminal, Write};
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use carobreel::http::{self, Answer, Call};
 use carobreel::keys;
 use carobreel::schema::Faults;
+use lexopt::ValueExt;
 use serde::Serialize;
 
 /// What a command comes to.
@@ -116,7 +118,6 @@
 impl Access {
     /// Takes an option when it is one of these, and tells whether it was.
     pub fn take(&mut self, name: &str, parser: &mut lexopt::Parser) -> CliResult<bool> {
-        use lexopt::ValueExt;
         match name {
             "admin" => self.admin = Some(parser.value()?.parse()?),
             "keys" => self.keys = Some(parser.value()?.into()),
@@ -160,6 +161,91 @@
     parsed.map_or_else(|| answer.text(), |p| p.problem)
 }
 
+/// What every command's line may ask for.
+#[derive(Clone, Debug, Default)]
+pub struct Common {
+    /// Where answers go.
+    pub output: Output,
+    /// How to reach a deployment.
+    pub access: Access,
+}
+
+/// One argument that isn't common to all commands.
+#[derive(Clone, Debug)]
+pub enum Arg {
+    /// An option, by its name without dashes.
+    Option(String),
+    /// A free argument.
+    Value(OsString),
+}
+
+/// Reads a command line; `own` takes the command's own arguments and tells whether it knew them.
+///
+/// `None` comes back when the usage text was asked for and printed.
+pub fn parse(
+    argv: Vec<OsString>,
+    usage: &str,
+    mut own: impl FnMut(&Arg, &mut lexopt::Parser) -> CliResult<bool>,
+) -> CliResult<Option<Common>> {
+    let mut common = Common::default();
+    let mut parser = lexopt::Parser::from_args(argv);
+    while let Some(arg) = parser.next()? {
+        let arg = match arg {
+            lexopt::Arg::Short('h') => Arg::Option("help".to_string()),
+            lexopt::Arg::Short(c) => Arg::Option(c.to_string()),
+            lexopt::Arg::Long(name) => Arg::Option(name.to_string()),
+            lexopt::Arg::Value(value) => Arg::Value(value),
+        };
+        if let Arg::Option(name) = &arg {
+            match name.as_str() {
+                "help" => {
+                    print!("{usage}");
+                    return Ok(None);
+                }
+                "json" => {
+                    common.output.json = true;
+                    continue;
+                }
+                _ if common.access.take(name, &mut parser)? => continue,
+                _ => {}
+            }
+        }
+        if !own(&arg, &mut parser)? {
+            return Err(CliError::Usage(format!("unexpected argument: {arg}")));
+        }
+    }
+    Ok(Some(common))
+}
+
+impl fmt::Display for Arg {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Arg::Option(name) => write!(f, "--{name}"),
+            Arg::Value(value) => write!(f, "{}", value.to_string_lossy()),
+        }
+    }
+}
+
+/// Reads a command line whose only own argument is one free one.
+pub fn parse_one(
+    argv: Vec<OsString>,
+    usage: &str,
+    what: &str,
+) -> CliResult<Option<(Common, OsString)>> {
+    let mut only = None;
+    let common = parse(argv, usage, |arg, _| {
+        let Arg::Value(value) = arg else {
+            return Ok(false);
+        };
+        set_once(&mut only, value.clone(), what)?;
+        Ok(true)
+    })?;
+    match common {
+        Some(common) => Ok(Some((common, need(only, what)?))),
+        None => Ok(None),
+    }
+}
+
 /// Reads a command's only free argument.
 pub fn set_once<T>(slot: &mut Option<T>, value: T, what: &str) -> CliResult {
     if slot.is_some() {
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -1,15 +1,14 @@
 //! Brings a configuration document into force.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::Path;
 
 use carobreel::document::Document;
 use carobreel::entry::operate::Applied;
 use carobreel::http::Call;
 use carobreel::settings::read_text;
-use lexopt::prelude::*;
 
-use crate::cli::{need, set_once, Access, CliError, CliResult, Output};
+use crate::cli::{parse_one, CliError, CliResult, Output};
 
 const USAGE: &str = "\
 Bring a configuration document into force.
@@ -25,41 +24,18 @@
 nothing changes and the answer says when to come back.
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    access: Access,
-    document: Option<PathBuf>,
-}
-
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("json") => args.output.json = true,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Long(name) => {
-                let name = name.to_string();
-                if !args.access.take(&name, &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
-            }
-            Value(file) => set_once(&mut args.document, file.into(), "DOCUMENT")?,
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
-    let text = read_text(&need(args.document, "DOCUMENT")?)?;
+    let Some((common, file)) = parse_one(argv, USAGE, "DOCUMENT")? else {
+        return Ok(());
+    };
+    let text = read_text(Path::new(&file))?;
     Document::parse(&text)?;
-    let answer = args.access.send(Call::post("/v1/documents", text))?;
+    let answer = common.access.send(Call::post("/v1/documents", text))?;
     let applied: Applied =
         serde_json::from_slice(&answer.body).map_err(|_| CliError::Refused(answer.text()))?;
-    args.output.value(&applied)?;
-    report(&applied, args.output)
+    common.output.value(&applied)?;
+    report(&applied, common.output)
 }
 
 fn report(applied: &Applied, output: Output) -> CliResult {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -6,10 +6,9 @@
 use carobreel::document::Document;
 use carobreel::schema::{Faults, Kind};
 use carobreel::settings::{read_text, Deployment, Process};
-use lexopt::prelude::*;
 use serde::Serialize;
 
-use crate::cli::{mark, CliError, CliResult, Output};
+use crate::cli::{mark, parse, Arg, CliError, CliResult, Output};
 
 const USAGE: &str = "\
 Check settings files and configuration documents, and report every fault.
@@ -22,12 +21,6 @@
 A process's settings are checked together with the deployment that they name.
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    files: Vec<PathBuf>,
-}
-
 #[derive(Serialize)]
 struct Report<'a> {
     file: &'a Path,
@@ -36,25 +29,23 @@
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("json") => args.output.json = true,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Value(file) => args.files.push(file.into()),
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
-    if args.files.is_empty() {
+    let mut files: Vec<PathBuf> = Vec::new();
+    let common = parse(argv, USAGE, |arg, _| {
+        let Arg::Value(file) = arg else {
+            return Ok(false);
+        };
+        files.push(file.into());
+        Ok(true)
+    })?;
+    let Some(common) = common else {
+        return Ok(());
+    };
+    if files.is_empty() {
         return Err(CliError::Usage("FILE is missing".to_string()));
     }
     let mut faulty = 0;
-    for file in &args.files {
-        faulty += usize::from(!check(file, args.output)?);
+    for file in &files {
+        faulty += usize::from(!check(file, common.output)?);
     }
     if faulty > 0 {
         return Err(CliError::Refused(format!("{faulty} file(s) with faults")));
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -7,9 +7,9 @@
 use carobreel::cell::state::{Phase, Upstream, UpstreamId};
 use carobreel::http::Call;
 use carobreel::slot::{home_region, ranges, KeyHash, SlotId};
-use lexopt::prelude::*;
+use lexopt::ValueExt;
 
-use crate::cli::{need, set_once, Access, CliError, CliResult, Output};
+use crate::cli::{need, parse, set_once, Arg, CliError, CliResult};
 
 const USAGE: &str = "\
 Tell who owns a key, or what an upstream holds, and why.
@@ -23,45 +23,30 @@
   carobreel explain --admin 127.0.0.1:21060 --keys examples/arraial/run/keys mapa-cortes-3
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    access: Access,
-    key: Option<String>,
-    upstream: Option<String>,
-}
-
 type Cells = BTreeMap<String, Option<Inspection>>;
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
+    let mut key = None;
+    let mut upstream = None;
+    let common = parse(argv, USAGE, |arg, parser| {
         match arg {
-            Long("json") => args.output.json = true,
-            Long("key") => args.key = Some(parser.value()?.string()?),
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Long(name) => {
-                let name = name.to_string();
-                if !args.access.take(&name, &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
-            }
-            Value(name) => set_once(&mut args.upstream, name.string()?, "UPSTREAM")?,
-            _ => return Err(arg.unexpected().into()),
+            Arg::Option(name) if name == "key" => key = Some(parser.value()?.string()?),
+            Arg::Option(_) => return Ok(false),
+            Arg::Value(name) => set_once(&mut upstream, name.clone().string()?, "UPSTREAM")?,
         }
-    }
-    let cells: Cells = args.access.fetch(Call::get("/v1/status"))?;
-    let lines = match &args.key {
+        Ok(true)
+    })?;
+    let Some(common) = common else {
+        return Ok(());
+    };
+    let cells: Cells = common.access.fetch(Call::get("/v1/status"))?;
+    let lines = match &key {
         Some(key) => explain_key(&cells, key)?,
-        None => explain_upstream(&cells, &need(args.upstream, "UPSTREAM or --key")?)?,
+        None => explain_upstream(&cells, &need(upstream, "UPSTREAM or --key")?)?,
     };
-    args.output.value(&lines)?;
-    args.output.line(lines.join("\n"))
+    common.output.value(&lines)?;
+    common.output.line(lines.join("\n"))
 }
 
 fn explain_key(cells: &Cells, target: &str) -> CliResult<Vec<String>> {
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -1,14 +1,13 @@
 //! Tells what a configuration document would change.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::Path;
 
 use carobreel::entry::operate::{Planned, PlannedService};
 use carobreel::http::Call;
 use carobreel::settings::read_text;
-use lexopt::prelude::*;
 
-use crate::cli::{need, set_once, Access, CliResult, Output};
+use crate::cli::{parse_one, CliResult, Output};
 
 const USAGE: &str = "\
 Tell what a configuration document would change, without changing it.
@@ -20,42 +19,20 @@
       examples/arraial/document-2.json
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    access: Access,
-    document: Option<PathBuf>,
-}
-
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("json") => args.output.json = true,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Long(name) => {
-                let name = name.to_string();
-                if !args.access.take(&name, &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
-            }
-            Value(file) => set_once(&mut args.document, file.into(), "DOCUMENT")?,
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
-    let text = read_text(&need(args.document, "DOCUMENT")?)?;
-    let planned: Planned = args.access.fetch(Call::post("/v1/plan", text))?;
-    args.output.value(&planned)?;
+    let Some((common, file)) = parse_one(argv, USAGE, "DOCUMENT")? else {
+        return Ok(());
+    };
+    let text = read_text(Path::new(&file))?;
+    let planned: Planned = common.access.fetch(Call::post("/v1/plan", text))?;
+    common.output.value(&planned)?;
     for (name, service) in &planned.services {
-        print_service(name, service, args.output)?;
+        print_service(name, service, common.output)?;
     }
     for cell in &planned.unreachable {
-        args.output
+        common
+            .output
             .line(format!("cell {cell} can't be reached; its part is missing"))?;
     }
     Ok(())
--- a/src/cmd/slopes.rs
+++ b/src/cmd/slopes.rs
@@ -3,9 +3,8 @@
 use std::ffi::OsString;
 
 use carobreel::slope::{measure_all, Slope};
-use lexopt::prelude::*;
 
-use crate::cli::{CliResult, Output};
+use crate::cli::{parse, CliResult};
 
 const USAGE: &str = "\
 Measure what one step of control costs at several sizes, and fit a straight
@@ -19,18 +18,10 @@
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut output = Output::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("json") => output.json = true,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
+    let Some(common) = parse(argv, USAGE, |_, _| Ok(false))? else {
+        return Ok(());
+    };
+    let output = common.output;
     output.line("| what | of one more | unit | base | each | residual | points |")?;
     output.line("|---|---|---|---|---|---|---|")?;
     for slope in measure_all() {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -6,9 +6,8 @@
 use carobreel::cell::replica::Inspection;
 use carobreel::cell::state::Phase;
 use carobreel::http::Call;
-use lexopt::prelude::*;
 
-use crate::cli::{mark, Access, CliResult, Output};
+use crate::cli::{mark, parse, CliResult, Output};
 
 const USAGE: &str = "\
 Show cells, leases and services.
@@ -19,40 +18,20 @@
   carobreel status --admin 127.0.0.1:21060 --keys examples/arraial/run/keys
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    access: Access,
-}
-
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("json") => args.output.json = true,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Long(name) => {
-                let name = name.to_string();
-                if !args.access.take(&name, &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
-            }
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
-    let cells: BTreeMap<String, Option<Inspection>> = args.access.fetch(Call::get("/v1/status"))?;
-    args.output.value(&cells)?;
+    let Some(common) = parse(argv, USAGE, |_, _| Ok(false))? else {
+        return Ok(());
+    };
+    let cells: BTreeMap<String, Option<Inspection>> =
+        common.access.fetch(Call::get("/v1/status"))?;
+    common.output.value(&cells)?;
     for (cell, inspection) in &cells {
         match inspection {
-            Some(inspection) => print_cell(inspection, args.output)?,
+            Some(inspection) => print_cell(inspection, common.output)?,
             None => {
                 let text = format!("cell {cell} can't be reached");
-                args.output.line(mark(&text, false))?;
+                common.output.line(mark(&text, false))?;
             }
         }
     }
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -4,9 +4,9 @@
 
 use carobreel::event::Stamped;
 use carobreel::http::Call;
-use lexopt::prelude::*;
+use lexopt::ValueExt;
 
-use crate::cli::{Access, CliResult, Output};
+use crate::cli::{parse, Arg, CliResult, Output};
 
 const USAGE: &str = "\
 Show the events of all processes in causal order.
@@ -25,13 +25,6 @@
       --text mapa-cortes-3
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    access: Access,
-    filter: Filter,
-}
-
 /// Which events to show.
 #[derive(Clone, Debug, Default)]
 pub struct Filter {
@@ -52,36 +45,28 @@
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("json") => args.output.json = true,
-            Long("text") => args.filter.text = Some(parser.value()?.string()?),
-            Long("host") => args.filter.host = Some(parser.value()?.string()?),
-            Long("since-ms") => args.filter.since_ms = parser.value()?.parse()?,
-            Long("last") => args.filter.last = Some(parser.value()?.parse()?),
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Long(name) => {
-                let name = name.to_string();
-                if !args.access.take(&name, &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
-            }
-            _ => return Err(arg.unexpected().into()),
+    let mut filter = Filter::default();
+    let common = parse(argv, USAGE, |arg, parser| {
+        let Arg::Option(name) = arg else {
+            return Ok(false);
+        };
+        match name.as_str() {
+            "text" => filter.text = Some(parser.value()?.string()?),
+            "host" => filter.host = Some(parser.value()?.string()?),
+            "since-ms" => filter.since_ms = parser.value()?.parse()?,
+            "last" => filter.last = Some(parser.value()?.parse()?),
+            _ => return Ok(false),
         }
-    }
-    let mut events: Vec<Stamped> = args.access.fetch(Call::get("/v1/timeline"))?;
-    events.retain(|e| args.filter.admits(e));
-    let skip = args
-        .filter
-        .last
-        .map_or(0, |n| events.len().saturating_sub(n));
+        Ok(true)
+    })?;
+    let Some(common) = common else {
+        return Ok(());
+    };
+    let mut events: Vec<Stamped> = common.access.fetch(Call::get("/v1/timeline"))?;
+    events.retain(|e| filter.admits(e));
+    let skip = filter.last.map_or(0, |n| events.len().saturating_sub(n));
     for stamped in events.iter().skip(skip) {
-        print_event(stamped, args.output)?;
+        print_event(stamped, common.output)?;
     }
     Ok(())
 }
--- a/src/cmd/trial.rs
+++ b/src/cmd/trial.rs
@@ -3,9 +3,9 @@
 use std::ffi::OsString;
 
 use carobreel::trial::{run as try_way, Setting, WAYS};
-use lexopt::prelude::*;
+use lexopt::ValueExt;
 
-use crate::cli::{CliResult, Output};
+use crate::cli::{parse, Arg, CliResult};
 
 const USAGE: &str = "\
 Compare ways of placing keys on upstreams, on the same seeded traffic.
@@ -21,20 +21,18 @@
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut output = Output::default();
     let mut seed = 1;
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
+    let common = parse(argv, USAGE, |arg, parser| {
         match arg {
-            Long("json") => output.json = true,
-            Long("seed") => seed = parser.value()?.parse()?,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            _ => return Err(arg.unexpected().into()),
+            Arg::Option(name) if name == "seed" => seed = parser.value()?.parse()?,
+            _ => return Ok(false),
         }
-    }
+        Ok(true)
+    })?;
+    let Some(common) = common else {
+        return Ok(());
+    };
+    let output = common.output;
     output.line("| upstreams | Zipf | way | imbalance | floor | over the floor | churn when one leaves | keys of the leaver |")?;
     output.line("|---|---|---|---|---|---|---|---|")?;
     for upstreams in [16, 23] {
--- a/src/cmd/watch.rs
+++ b/src/cmd/watch.rs
@@ -6,10 +6,10 @@
 use carobreel::clock::HybridTime;
 use carobreel::event::Stamped;
 use carobreel::http::Call;
-use lexopt::prelude::*;
+use lexopt::ValueExt;
 
 use super::timeline::print_event;
-use crate::cli::{Access, CliResult, Output};
+use crate::cli::{parse, Arg, CliResult};
 
 const USAGE: &str = "\
 Show changes as they happen, until interrupted.
@@ -26,41 +26,26 @@
 /// Between two looks.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Default)]
-struct Args {
-    output: Output,
-    access: Access,
-    times: Option<u64>,
-}
-
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let mut args = Args::default();
-    let mut parser = lexopt::Parser::from_args(argv);
-    while let Some(arg) = parser.next()? {
+    let mut times: Option<u64> = None;
+    let common = parse(argv, USAGE, |arg, parser| {
         match arg {
-            Long("json") => args.output.json = true,
-            Long("times") => args.times = Some(parser.value()?.parse()?),
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Long(name) => {
-                let name = name.to_string();
-                if !args.access.take(&name, &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
-            }
-            _ => return Err(arg.unexpected().into()),
+            Arg::Option(name) if name == "times" => times = Some(parser.value()?.parse()?),
+            _ => return Ok(false),
         }
-    }
+        Ok(true)
+    })?;
+    let Some(common) = common else {
+        return Ok(());
+    };
     let mut shown = HybridTime::default();
     let mut looks = 0;
-    while args.times.is_none_or(|n| looks < n) {
+    while times.is_none_or(|n| looks < n) {
         looks += 1;
-        let events: Vec<Stamped> = args.access.fetch(Call::get("/v1/timeline"))?;
+        let events: Vec<Stamped> = common.access.fetch(Call::get("/v1/timeline"))?;
         for stamped in events.iter().filter(|e| e.time > shown) {
-            print_event(stamped, args.output)?;
+            print_event(stamped, common.output)?;
         }
         if let Some(last) = events.last() {
             shown = shown.max(last.time);
