Bound kept answers in total, and load reports to 128 slots

Change: a keeper holds 16 MiB of bodies and keeps heads only beyond; counts that a report leaves out stay for the next one.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -22,6 +22,8 @@
 pub const CLAIM_ROUND_MS: u64 = 1_000;
 /// The largest answer that is kept for resends, in bytes.
 pub const ANSWER_BYTES_MAX: usize = 16 << 10;
+/// The most bytes of answers that one keeper holds; beyond them it keeps heads only.
+const ANSWERS_BYTES_MAX: usize = 16 << 20;
 /// The most claims that one keeper holds.
 const CLAIMS_MAX: usize = 400_000;
 
@@ -119,6 +121,7 @@
     lifetime_ms: u64,
     claims: BTreeMap<ClaimId, Kept>,
     expiry: BTreeSet<(Mono, ClaimId)>,
+    answers_bytes: usize,
     whole: bool,
     started_at: Mono,
 }
@@ -143,6 +146,7 @@
             lifetime_ms,
             claims: BTreeMap::new(),
             expiry: BTreeSet::new(),
+            answers_bytes: 0,
             whole,
             started_at: now,
         }
@@ -222,10 +226,23 @@
             };
             self.insert(claim.id, record, now);
         }
-        if let Some(kept) = self.claims.get_mut(&claim.id) {
-            kept.record.token = Some(claim.token);
-            kept.record.answer = Some(completion.answer);
+        let bound = ANSWERS_BYTES_MAX.saturating_sub(self.answers_bytes);
+        let Some(kept) = self.claims.get_mut(&claim.id) else {
+            return;
+        };
+        let mut answer = completion.answer;
+        if answer.body.as_ref().is_some_and(|b| b.len() > bound) {
+            answer.body = None;
         }
+        self.answers_bytes -= body_bytes(&kept.record.answer);
+        kept.record.token = Some(claim.token);
+        kept.record.answer = Some(answer);
+        self.answers_bytes += body_bytes(&kept.record.answer);
+    }
+
+    /// Returns the bytes of bodies held.
+    pub fn answers_bytes(&self) -> usize {
+        self.answers_bytes
     }
 
     /// Returns the claims that `host` should hold too, or `None` while some may be missing here.
@@ -267,7 +284,9 @@
     }
 
     fn insert(&mut self, id: ClaimId, record: ClaimRecord, since: Mono) {
+        self.answers_bytes += body_bytes(&record.answer);
         if let Some(old) = self.claims.insert(id, Kept { record, since }) {
+            self.answers_bytes -= body_bytes(&old.record.answer);
             self.expiry.remove(&(old.since, id));
         }
         self.expiry.insert((since, id));
@@ -279,11 +298,18 @@
                 return;
             }
             self.expiry.pop_first();
-            self.claims.remove(&id);
+            if let Some(old) = self.claims.remove(&id) {
+                self.answers_bytes -= body_bytes(&old.record.answer);
+            }
         }
     }
 }
 
+fn body_bytes(answer: &Option<KeptAnswer>) -> usize {
+    let body = answer.as_ref().and_then(|a| a.body.as_ref());
+    body.map_or(0, Vec::len)
+}
+
 fn answer_known(record: &mut ClaimRecord, req: ClaimRequest, whole: bool) -> ClaimAnswer {
     if record.digest != req.digest {
         return ClaimAnswer::Mismatch;
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -12,7 +12,7 @@
 /// Keys that one report names.
 const KEYS_REPORTED: usize = 16;
 /// Slots that one report names.
-const SLOTS_REPORTED: usize = 512;
+const SLOTS_REPORTED: usize = 128;
 
 #[derive(Debug)]
 struct Meter {
@@ -47,7 +47,7 @@
         meter.keys.count(key);
     }
 
-    /// Returns what was counted since the last call, the busiest slots and keys only.
+    /// Returns the busiest slots and keys; counts that aren't returned are kept for a later call.
     ///
     /// # Examples
     ///
@@ -65,23 +65,28 @@
             Ok(meters) => meters,
             Err(poisoned) => poisoned.into_inner(),
         };
-        let taken = std::mem::take(&mut *meters);
-        drop(meters);
-        taken.into_iter().map(|(s, m)| report(s, m)).collect()
+        let reports = meters.iter_mut().map(|(s, m)| report(s, m));
+        reports.filter(|r| !r.slots.is_empty()).collect()
     }
 }
 
-fn report(service: String, mut meter: Meter) -> LoadReport {
+fn report(service: &str, meter: &mut Meter) -> LoadReport {
     let mut slots: Vec<SlotCount> = meter
         .slots
-        .into_iter()
-        .map(|(slot, requests)| SlotCount { slot, requests })
+        .iter()
+        .map(|(slot, requests)| SlotCount {
+            slot: *slot,
+            requests: *requests,
+        })
         .collect();
     slots.sort_by_key(|c| std::cmp::Reverse(c.requests));
     slots.truncate(SLOTS_REPORTED);
+    for count in &slots {
+        meter.slots.remove(&count.slot);
+    }
     let keys = meter.keys.take(KEYS_REPORTED).into_iter();
     LoadReport {
-        service,
+        service: service.to_string(),
         slots,
         keys: keys
             .map(|(key, requests)| KeyCount { key, requests })
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -12,6 +12,7 @@
 use carobreel::clock::Mono;
 use carobreel::entry::budget::{ByteBudget, RetryBudget};
 use carobreel::entry::gate::Gate;
+use carobreel::entry::load::LoadMeter;
 use carobreel::raft::{Entry, HardState, Payload, ReplicaId};
 use carobreel::selector::{Labels, Selector};
 use carobreel::settings::Deployment;
@@ -239,6 +240,58 @@
     assert_eq!(keeper.claim(resend, Mono(5)), ClaimAnswer::Done(answer));
 }
 
+#[test]
+fn kept_answers_are_bounded_in_total() {
+    let mut keeper = Keeper::new(1_000, Mono(0), true);
+    let answer = KeptAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: Some(vec![0; 16 << 10]),
+    };
+    for n in 0..3_000 {
+        let claim = ClaimRequest {
+            id: ClaimId::of("licencas", &n.to_string()),
+            token: n,
+            digest: 1,
+        };
+        keeper.claim(claim, Mono(1));
+        let answer = answer.clone();
+        keeper.complete(Completion { claim, answer }, Mono(1));
+    }
+    assert!(keeper.answers_bytes() <= 16 << 20);
+    let late = ClaimRequest {
+        id: ClaimId::of("licencas", "2999"),
+        token: 7,
+        digest: 1,
+    };
+    assert_matches!(keeper.claim(late, Mono(2)), ClaimAnswer::Done(a) if a.body.is_none());
+    let other = ClaimRequest {
+        id: ClaimId::of("licencas", "x"),
+        ..late
+    };
+    keeper.claim(other, Mono(5_000));
+    assert_eq!((keeper.answers_bytes(), keeper.len()), (0, 1));
+}
+
+#[test]
+fn load_that_isn_t_reported_at_once_is_reported_later() {
+    let meter = LoadMeter::default();
+    for n in 0..1_000 {
+        meter.count("mapa-cortes", SlotId(n % 500), KeyHash(u64::from(n)));
+    }
+    let mut seen = 0;
+    for _ in 0..4 {
+        let reports = meter.take();
+        assert!(reports.iter().all(|r| r.slots.len() <= 128));
+        seen += reports
+            .iter()
+            .flat_map(|r| &r.slots)
+            .map(|c| c.requests)
+            .sum::<u32>();
+    }
+    assert_eq!(seen, 1_000);
+}
+
 #[test]
 fn keepers_stand_in_different_zones_and_a_lost_zone_leaves_a_majority() {
     let deployment = Deployment::parse(ARRAIAL).unwrap();
