Let a region's own hosts lead its cell; take upstreams' acknowledgements at once

Cause: following the README's tour by hand, 'status' showed sul's cell led by c-norte-a, its witness, 30 ms away; and a drained upstream's slots had no owner for 281 ms. The founder was the voter whose name sorts first, and a witness stood for election as soon as any other. An acknowledgement was taken only when its heartbeat was answered, one round later. Ruled out: the freeze itself (committed within 20 ms of the document). Change: the voter listed first founds; a witness waits two election intervals longer; acknowledgements count when they arrive. Before: sul led by its witness (tour).

--- a/src/cell/ownership.rs
+++ b/src/cell/ownership.rs
@@ -160,6 +160,14 @@
         self.grants.entry(id).or_insert(lease);
     }
 
+    /// Takes an upstream's acknowledgement: it serves no slot revoked by version `acked`.
+    pub fn acknowledge_grant(&mut self, id: UpstreamId, acked: u64) {
+        if let Some(lease) = self.grants.get_mut(&id) {
+            self.has_news |= acked > lease.acked;
+            lease.acked = lease.acked.max(acked);
+        }
+    }
+
     /// Takes an entry host's acknowledgement: nothing is in flight for slots frozen by `drained`.
     pub fn acknowledge_route(&mut self, router: &RouterId, drained: u64) {
         if let Some(lease) = self.routes.get_mut(router) {
--- a/src/cell/replica.rs
+++ b/src/cell/replica.rs
@@ -220,7 +220,12 @@
                 }
                 answer_at = now.plus(RENEWAL_HOLD_MS);
             }
-            Ask::Heartbeats(_) | Ask::Inspect => {}
+            Ask::Heartbeats(ref list) => {
+                for h in list {
+                    lead.ownership.acknowledge_grant(h.upstream, h.acked);
+                }
+            }
+            Ask::Inspect => {}
         }
         let round = self.raft.current_round().unwrap_or(0) + 1;
         lead.waiting.push_back(Waiting {
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -1,7 +1,7 @@
 //! One cell's replica on this host, from an empty folder to a running voter.
 //!
-//! A cell is founded once: the voter whose name sorts first asks the others for their identities and
-//! starts the log only when every folder is empty. A host that comes to a founded cell with a new
+//! A cell is founded once: the voter listed first asks the others for their identities and starts the
+//! log only when every folder is empty. A host that comes to a founded cell with a new
 //! folder asks the leader for a place under its new identity.
 
 use std::collections::BTreeMap;
@@ -64,6 +64,9 @@
             });
         }
         let deployment = &settings.deployment;
+        let host = deployment.control_host(&settings.host);
+        let region = host.and_then(|h| deployment.region_of(&h.availability_zone));
+        let is_witness = region != Some(cell.region.as_str());
         let mut regions = deployment.regions.iter();
         let place = Place {
             cell: cell.region.clone(),
@@ -72,7 +75,7 @@
                 region: regions.position(|r| r.name == cell.region).unwrap_or(0),
                 regions: deployment.regions.len(),
             },
-            raft: deployment.timing.raft(),
+            raft: deployment.timing.raft(is_witness),
             lease: deployment.timing.into(),
         };
         let start = Start {
@@ -192,7 +195,7 @@
 
 /// Founds the cell or asks for a place in it until this replica is a voter.
 pub async fn introduce(intro: Introduction, endpoint: Endpoint, tx: mpsc::Sender<Input>) {
-    let first = intro.voters.iter().min() == Some(&intro.me.host);
+    let first = intro.voters.first() == Some(&intro.me.host);
     loop {
         let Some(mine) = own_founding(&intro, &tx).await else {
             return;
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -30,6 +30,8 @@
     pub heartbeat_ms: u64,
     /// The shortest silence after which a replica stands for election; the longest is twice that.
     pub election_ms: u64,
+    /// What a replica that should lead only if no other can waits longer.
+    pub reserve_ms: u64,
 }
 
 /// A replica's part in its log.
@@ -369,7 +371,8 @@
 
     fn reset_election(&mut self, now: Mono) {
         let spread = self.rng.random_range(0..=self.timing.election_ms);
-        self.election_at = now.plus(self.timing.election_ms + spread);
+        let silence_ms = self.timing.election_ms + self.timing.reserve_ms;
+        self.election_at = now.plus(silence_ms + spread);
     }
 
     fn become_follower(&mut self, term: u64, leader: Option<ReplicaId>, now: Mono) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,11 +37,12 @@
 }
 
 impl Timing {
-    /// Returns the intervals of the replicated log.
-    pub fn raft(&self) -> raft::Timing {
+    /// Returns the intervals of the replicated log; a witness leaves the lead to the region's hosts.
+    pub fn raft(&self, is_witness: bool) -> raft::Timing {
         raft::Timing {
             heartbeat_ms: self.heartbeat_ms,
             election_ms: self.election_ms,
+            reserve_ms: if is_witness { 2 * self.election_ms } else { 0 },
         }
     }
 
--- a/tests/schedule/mod.rs
+++ b/tests/schedule/mod.rs
@@ -454,6 +454,7 @@
             raft: Timing {
                 heartbeat_ms: 100,
                 election_ms: 500,
+                reserve_ms: if n == 2 { 1_000 } else { 0 },
             },
             lease: self.plan.lease,
         };
