--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -171,7 +171,10 @@
             std::thread::sleep(Duration::from_millis(10));
         }
         if let Some(runtime) = self.runtime.take() {
-            runtime.block_on(self.control.release());
+            // With requests still at owners the lease must run out by itself.
+            if self.flights.count() == 0 {
+                runtime.block_on(self.control.release());
+            }
             let _ = self.stop_control.send(true);
             if let Some(thread) = self.control_thread.take() {
                 let _ = thread.join();
--- a/src/entry/operate.rs
+++ b/src/entry/operate.rs
@@ -135,6 +135,10 @@
                 retry_after_ms: RETRY_MS,
             };
         }
+        let faults = changed_slots(&document, &seen);
+        if !faults.0.is_empty() {
+            return faulty(&faults);
+        }
         if !self.is_decided(&document, &seen) {
             let empty = empty_services(&document, &seen);
             if !empty.is_empty() {
@@ -221,6 +225,25 @@
     }
 }
 
+/// Returns a fault for each keyed service whose number of slots would change.
+fn changed_slots(document: &Document, seen: &BTreeMap<String, Option<Inspection>>) -> Faults {
+    let mut faults = Faults::default();
+    for (name, service) in &document.services {
+        let mut divisions = seen
+            .values()
+            .flatten()
+            .filter_map(|i| i.state.divisions.get(name));
+        let Some(division) = divisions.next() else {
+            continue;
+        };
+        if division.count != service.slots {
+            let message = format!("expected {}: slots can't be changed", division.count);
+            faults.push(format!("/services/{name}/slots"), message);
+        }
+    }
+    faults
+}
+
 fn unreachable(seen: &BTreeMap<String, Option<Inspection>>) -> Vec<String> {
     let missing = seen.iter().filter(|(_, i)| i.is_none());
     missing.map(|(cell, _)| cell.clone()).collect()
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -139,8 +139,11 @@
         let Some(key) = req.key else {
             return Outcome::NotRun(NotRun::never(Reason::MissingKey));
         };
+        let Some(division) = table.divisions.get(&req.service) else {
+            return Outcome::NotRun(NotRun::later(Reason::NoOwner, CONTROL_RETRY_MS));
+        };
         let regions = self.deployment.regions.len();
-        let home = home_region(key.slot(service.slots), regions);
+        let home = home_region(key.slot(division.count), regions);
         if home == self.region {
             return self.route_keyed(req, key).await;
         }
--- a/src/entry/table.rs
+++ b/src/entry/table.rs
@@ -123,12 +123,6 @@
         self.upstreams.get(&id).map(|u| &u.announcement)
     }
 
-    /// Returns the number of hash slots of a keyed service, or `None` for other services.
-    pub fn slot_count(&self, service: &str) -> Option<u32> {
-        let service = self.document.services.get(service)?;
-        service.divided_by_key.then_some(service.slots)
-    }
-
     fn select(&mut self) {
         let names = self.document.services.keys();
         let select = |name: &String| eligible(&self.document, &self.upstreams, name);
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -437,6 +437,9 @@
         "y".repeat(100_000)
     );
     assert!(raw(address, head.as_bytes()).starts_with("HTTP/1.1 431"));
+    let slow = b"POST /licencas/x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+        carobreel-timeout-ms: 300\r\ncontent-length: 10\r\n\r\nhalf";
+    assert!(raw(address, slow).starts_with("HTTP/1.1 408"));
     let large = Call::post("/licencas/x", vec![b'x'; 10_000]);
     let cases = vec![
         (large, 413),
@@ -474,3 +477,15 @@
     });
     assert!(refused.is_err());
 }
+
+#[test]
+fn a_document_that_changes_a_service_s_slots_is_refused_by_place() {
+    let bench = Bench::start();
+    let text = DOCUMENT.replace(r#""number": 1"#, r#""number": 2"#);
+    let text = text.replace(r#""slots": 64"#, r#""slots": 128"#);
+    let call = Call::post("/v1/documents", text);
+    let answer = bench.runtime.block_on(bench.lab().operate(call)).unwrap();
+    assert_eq!(answer.status.as_u16(), 422);
+    let body = answer.text();
+    assert!(body.contains("/services/mapa-cortes/slots"), "{body}");
+}
