--- a/src/clock.rs
+++ b/src/clock.rs
@@ -32,10 +32,12 @@
     }
 }
 
-/// Reads the machine's monotonic clock.
+/// Reads the machine's monotonic clock. It counts the time for which the machine was suspended, so
+/// that no lease outlives a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    start_ms: u64,
 }
 
 impl Clock {
@@ -43,12 +45,13 @@
     pub fn start() -> Clock {
         Clock {
             start: Instant::now(),
+            start_ms: boot_ms(),
         }
     }
 
     /// Returns the present point.
     pub fn now(&self) -> Mono {
-        Mono(self.start.elapsed().as_millis() as u64)
+        Mono(boot_ms().saturating_sub(self.start_ms))
     }
 
     /// Returns the `Instant` at which this clock reads `at`.
@@ -112,6 +115,11 @@
     }
 }
 
+fn boot_ms() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 fn wall_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- /dev/null
+++ b/src/cmd/directory.rs
@@ -0,0 +1,72 @@
+//! Runs a replica of the directory on a host with a disk of the platform.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+use carobreel::directory::daemon::{Directory, Settings};
+use carobreel::keys;
+use carobreel::platform::api;
+use carobreel::platform::keys::KeyClient;
+use tokio::net::TcpListener;
+
+use super::serve::{block_on, start, Wake};
+use crate::cli::{CliError, CliResult};
+
+const USAGE: &str = "\
+Run a replica of the directory: route configuration, upstreams and owners of keys.
+
+Usage: carobreel directory [--settings FILE]
+
+The file is named by CAROBREEL_SETTINGS where the option is missing. SIGHUP or a change of the file
+makes it read again; SIGTERM ends the process.
+
+Examples:
+  carobreel directory --settings /etc/carobreel/settings.json
+";
+
+/// Runs the command.
+pub fn run(argv: Vec<OsString>) -> CliResult {
+    let Some(mut started) = start("directory", USAGE, argv)? else {
+        return Ok(());
+    };
+    block_on(async move {
+        let failed = |e: String| CliError::Refused(e);
+        let host = &started.settings;
+        let missing =
+            || failed("the settings name no operators address or data folder".to_string());
+        let operators = host.operators.ok_or_else(missing)?;
+        let data_folder = host.data_folder.clone().ok_or_else(missing)?;
+        let seeds = Arc::new(Mutex::new(host.seeds.clone()));
+        let settings = Settings {
+            address: host.peer_address,
+            seeds: seeds.clone(),
+            first_start: host.first_start,
+            data_folder: PathBuf::from(data_folder),
+            hold_ms: host.hold_ms,
+            voters: 2 * host.losses_tolerated as usize + 1,
+        };
+        let tls = keys::unverified().map_err(|e| failed(e.to_string()))?;
+        let recorder = started.recorder.clone();
+        let calls = KeyClient::new(started.clock);
+        let directory = Directory::spawn(settings, tls, calls, started.clock, recorder.clone())
+            .map_err(|e| failed(e.to_string()))?;
+        let listener = TcpListener::bind(operators)
+            .await
+            .map_err(|e| failed(format!("can't listen on {operators}: {e}")))?;
+        let router = api::router(directory.handle(), recorder.clone());
+        let serving = tokio::spawn(async move { axum::serve(listener, router).await });
+        loop {
+            match started.file.wake(&recorder).await? {
+                Wake::Settings(changed) => match seeds.lock() {
+                    Ok(mut seeds) => *seeds = changed.seeds,
+                    Err(poisoned) => *poisoned.into_inner() = changed.seeds,
+                },
+                Wake::Stop => break,
+            }
+        }
+        serving.abort();
+        directory.stop();
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,46 @@
+//! Serves callers on an entry host of the platform.
+
+use std::ffi::OsString;
+use std::time::Duration;
+
+use carobreel::gateway::daemon::Gateway;
+use carobreel::keys;
+use carobreel::platform::headers::Headers;
+
+use super::serve::{block_on, start, Wake};
+use crate::cli::{CliError, CliResult};
+
+const USAGE: &str = "\
+Serve callers on an entry host, following the directory.
+
+Usage: carobreel gateway [--settings FILE]
+
+The file is named by CAROBREEL_SETTINGS where the option is missing. SIGHUP or a change of the file
+makes it read again; SIGTERM ends the process in order.
+
+Examples:
+  carobreel gateway --settings /etc/carobreel/settings.json
+";
+
+/// Runs the command.
+pub fn run(argv: Vec<OsString>) -> CliResult {
+    let Some(mut started) = start("gateway", USAGE, argv)? else {
+        return Ok(());
+    };
+    block_on(async move {
+        let failed = |e: String| CliError::Refused(e);
+        let tls = keys::unverified().map_err(|e| failed(e.to_string()))?;
+        let recorder = started.recorder.clone();
+        let settings = started.settings;
+        let spawned = Gateway::spawn(&settings, &tls, Headers, started.clock, recorder.clone());
+        let gateway = spawned.await.map_err(|e| failed(e.to_string()))?;
+        loop {
+            match started.file.wake(&recorder).await? {
+                Wake::Settings(settings) => gateway.set_seeds(settings.seeds),
+                Wake::Stop => break,
+            }
+        }
+        gateway.stop(Duration::from_millis(settings.grace_ms)).await;
+        Ok(())
+    })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,10 +3,13 @@
 pub mod apply;
 pub mod check;
 pub mod demo;
+pub mod directory;
 pub mod explain;
+pub mod gateway;
 pub mod keys;
 pub mod load;
 pub mod plan;
+pub mod serve;
 pub mod slopes;
 pub mod standin;
 pub mod status;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -74,6 +74,13 @@
     }
 }
 
+/// Returns a logger that writes JSON lines to the standard output stream. When the stream doesn't
+/// keep up, lines are dropped and counted; a caller never waits.
+pub fn stdout_logger() -> Logger {
+    let drain = Mutex::new(slog_json::Json::default(std::io::stdout())).fuse();
+    asynchronous(drain)
+}
+
 /// Returns a logger that drops everything.
 pub fn silent() -> Logger {
     Logger::root(Discard, o!())
--- /dev/null
+++ b/src/directory/balance.rs
@@ -0,0 +1,256 @@
+//! Chooses which keys change owner so that no upstream carries much more than its share.
+//!
+//! Answers two loads: a run of adjacent keys that turns hot within a second, and an upstream that
+//! joins empty.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::model::{parts_outside, Incarnation, Key, KeyTable};
+
+/// A donor must carry this much more than the mean before keys are taken from it.
+const OVERLOAD: f64 = 1.35;
+/// An owner with less than this share of the mean is given keys.
+const UNDERLOAD: f64 = 0.5;
+/// What a move must carry, as a share of the mean, to be worth an owner change.
+const WORTHWHILE: f64 = 0.1;
+/// A move may carry this much more than is asked for.
+const OVERSHOOT: f64 = 1.15;
+/// A move may carry this much less than is asked for.
+const UNDERSHOOT: f64 = 0.6;
+/// The share of all load that counts as spread evenly over the keys, so that empty upstreams are
+/// given keys also where nothing is known of the load.
+const EVEN_SHARE: f64 = 0.2;
+/// The load that is assumed when none was reported, in requests a second.
+const EVEN_FLOOR: f64 = 10.0;
+/// Half of a key's counted requests are forgotten after this long, in milliseconds.
+const HALF_LIFE_MS: f64 = 1_200.0;
+/// A key below this many requests a second is no longer counted on its own.
+const COLD_RATE: f64 = 0.02;
+
+/// Requests a second, by key.
+#[derive(Clone, Debug, Default)]
+pub struct KeyRates {
+    counts: BTreeMap<Key, f64>,
+}
+
+impl KeyRates {
+    /// Adds requests that were seen.
+    pub fn add(&mut self, key: Key, count: u32) {
+        *self.counts.entry(key).or_default() += f64::from(count);
+    }
+
+    /// Forgets a part of what was seen `elapsed_ms` ago.
+    pub fn decay(&mut self, elapsed_ms: u64) {
+        let keep = 0.5_f64.powf(elapsed_ms as f64 / HALF_LIFE_MS);
+        self.counts.retain(|_, count| {
+            *count *= keep;
+            *count >= COLD_RATE
+        });
+    }
+
+    fn rate(count: f64) -> f64 {
+        count * std::f64::consts::LN_2 / (HALF_LIFE_MS / 1_000.0)
+    }
+
+    fn between(&self, from: Key, to: Key) -> impl Iterator<Item = (Key, f64)> + '_ {
+        self.counts
+            .range(from..=to)
+            .map(|(key, count)| (*key, KeyRates::rate(*count)))
+    }
+
+    fn total(&self) -> f64 {
+        self.counts.values().map(|c| KeyRates::rate(*c)).sum()
+    }
+}
+
+/// Keys that should go to another owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// The first key.
+    pub from: Key,
+    /// The last key.
+    pub to: Key,
+    /// The present owner.
+    pub donor: Incarnation,
+    /// The owner to be.
+    pub receiver: Incarnation,
+}
+
+/// Keys that are changing hands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Moving {
+    /// The first key.
+    pub from: Key,
+    /// The last key.
+    pub to: Key,
+    /// The owner to be, when it is known.
+    pub receiver: Option<Incarnation>,
+}
+
+/// What one planning round looks at.
+#[derive(Debug)]
+pub struct Plan<'a> {
+    /// The owners of the service.
+    pub table: &'a KeyTable,
+    /// The load.
+    pub rates: &'a KeyRates,
+    /// Upstreams that may own keys.
+    pub owners: &'a BTreeSet<Incarnation>,
+    /// Keys that are changing hands already.
+    pub moving: &'a [Moving],
+}
+
+impl Plan<'_> {
+    /// Returns at most `most` transfers.
+    pub fn transfers(&self, most: usize) -> Vec<Transfer> {
+        let mut chosen: Vec<Transfer> = Vec::new();
+        let even = (self.rates.total() * EVEN_SHARE).max(EVEN_FLOOR) / 65_536.0;
+        let mut loads = self.loads(even);
+        if loads.len() < 2 {
+            return chosen;
+        }
+        let mean = loads.values().sum::<f64>() / loads.len() as f64;
+        while chosen.len() < most {
+            let Some((donor, high)) = extreme(&loads, |a, b| a > b) else {
+                break;
+            };
+            let Some((receiver, low)) = extreme(&loads, |a, b| a < b) else {
+                break;
+            };
+            if high < mean * OVERLOAD && low > mean * UNDERLOAD {
+                break;
+            }
+            let wanted = (high - mean).max(mean * WORTHWHILE).min(mean - low);
+            if wanted < mean * WORTHWHILE {
+                break;
+            }
+            let Some((from, to, load)) = self.segment(&donor, wanted, high - low, even, &chosen)
+            else {
+                // This donor has nothing suitable, such as a single hot key: the next one may.
+                loads.remove(&donor);
+                if loads.len() < 2 {
+                    break;
+                }
+                continue;
+            };
+            *loads.entry(donor.clone()).or_default() -= load;
+            *loads.entry(receiver.clone()).or_default() += load;
+            chosen.push(Transfer {
+                from,
+                to,
+                donor,
+                receiver,
+            });
+        }
+        chosen
+    }
+
+    fn loads(&self, even: f64) -> BTreeMap<Incarnation, f64> {
+        let mut loads: BTreeMap<Incarnation, f64> =
+            self.owners.iter().map(|o| (o.clone(), 0.0)).collect();
+        for range in self.table.ranges.values() {
+            if let Some(load) = loads.get_mut(&range.owner) {
+                *load += self.load(range.from, range.to, even);
+            }
+        }
+        for m in self.moving {
+            let moved = self.load(m.from, m.to, even);
+            let donor = self.table.owner_of(m.from).map(|r| &r.owner);
+            if let Some(load) = donor.and_then(|d| loads.get_mut(d)) {
+                *load -= moved;
+            }
+            if let Some(load) = m.receiver.as_ref().and_then(|r| loads.get_mut(r)) {
+                *load += moved;
+            }
+        }
+        loads
+    }
+
+    fn load(&self, from: Key, to: Key, even: f64) -> f64 {
+        let hot: f64 = self.rates.between(from, to).map(|(_, rate)| rate).sum();
+        hot + (f64::from(to - from) + 1.0) * even
+    }
+
+    /// Returns the donor's keys that aren't changing hands.
+    fn free_parts(&self, donor: &Incarnation, chosen: &[Transfer]) -> Vec<(Key, Key)> {
+        let moving = self.moving.iter().map(|m| (m.from, m.to));
+        let cuts: Vec<(Key, Key)> = moving
+            .chain(chosen.iter().map(|t| (t.from, t.to)))
+            .collect();
+        let ranges = self.table.ranges.values();
+        ranges
+            .filter(|r| r.owner == *donor)
+            .flat_map(|r| parts_outside(r.from, r.to, cuts.clone()))
+            .collect()
+    }
+
+    /// Finds adjacent keys of `donor` that carry about `wanted`, as few as can be.
+    fn segment(
+        &self,
+        donor: &Incarnation,
+        wanted: f64,
+        gap: f64,
+        even: f64,
+        chosen: &[Transfer],
+    ) -> Option<(Key, Key, f64)> {
+        let parts = self.free_parts(donor, chosen);
+        let mut best: Option<(Key, Key)> = None;
+        for (first, last) in &parts {
+            let hot: Vec<(Key, f64)> = self.rates.between(*first, *last).collect();
+            let mut start = 0;
+            let mut sum = 0.0;
+            for end in 0..hot.len() {
+                sum += hot[end].1;
+                while start < end && sum > wanted * OVERSHOOT {
+                    sum -= hot[start].1;
+                    start += 1;
+                }
+                let fits = sum >= wanted * UNDERSHOOT && sum <= wanted * OVERSHOOT;
+                let alone = start == end && sum > wanted * OVERSHOOT && sum < gap * UNDERSHOOT;
+                let (from, to) = (hot[start].0, hot[end].0);
+                let is_better = best.is_none_or(|(a, b)| to - from < b - a);
+                if (fits || alone) && is_better {
+                    best = Some((from, to));
+                }
+            }
+        }
+        if let Some((from, to)) = best {
+            return Some((from, to, self.load(from, to, even)));
+        }
+        let largest = parts.into_iter().max_by_key(|(from, to)| to - from)?;
+        self.even_segment(largest, wanted, even)
+    }
+
+    /// Takes keys from the beginning of a part until they carry enough.
+    fn even_segment(&self, part: (Key, Key), wanted: f64, even: f64) -> Option<(Key, Key, f64)> {
+        let (from, last) = part;
+        let mut sum = 0.0;
+        let mut hot = self.rates.between(from, last).peekable();
+        let mut to = from;
+        loop {
+            sum += even;
+            if let Some((_, rate)) = hot.next_if(|(key, _)| *key == to) {
+                sum += rate;
+            }
+            if sum >= wanted * UNDERSHOOT || to == last {
+                break;
+            }
+            to += 1;
+        }
+        let fits = sum >= wanted * WORTHWHILE && sum <= wanted * OVERSHOOT;
+        (fits && to < last).then_some((from, to, sum))
+    }
+}
+
+fn extreme(
+    loads: &BTreeMap<Incarnation, f64>,
+    beats: impl Fn(f64, f64) -> bool,
+) -> Option<(Incarnation, f64)> {
+    let mut best: Option<(&Incarnation, f64)> = None;
+    for (who, load) in loads {
+        if best.is_none_or(|(_, other)| beats(*load, other)) {
+            best = Some((who, *load));
+        }
+    }
+    best.map(|(who, load)| (who.clone(), load))
+}
--- /dev/null
+++ b/src/directory/daemon.rs
@@ -0,0 +1,524 @@
+//! The directory on one host with a disk: a replica on a thread of its own, its messages, and the
+//! calls to upstreams that it asks for while it leads.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::MissedTickBehavior;
+
+use crate::clock::{Clock, Mono};
+use crate::event::{Event, Recorder};
+use crate::keys::Tls;
+use crate::raft::{Log, Message, ReplicaId, Timing};
+use crate::storage::{Storage, StorageError};
+use crate::transport::{Endpoint, Incoming};
+use crate::wire::{RaftBatch, Request, Response};
+
+use super::ask::{Ask, Reply};
+use super::lessor::{Call, CallResult};
+use super::membership::{founder_id, founding};
+use super::replica::{Output, Replica, Start, LOG_NAME};
+
+/// Between two looks at the clock.
+const TICK: Duration = Duration::from_millis(20);
+/// Between two heartbeats of a leader, in milliseconds.
+const HEARTBEAT_MS: u64 = 100;
+/// The shortest silence before an election, in milliseconds: several round trips between regions.
+const ELECTION_MS: u64 = 800;
+/// Requests that may wait for the replica's thread.
+const QUEUE_MAX: usize = 4_096;
+/// Batches that may wait for a peer; more are dropped, and the log sends them again.
+const PEER_QUEUE_MAX: usize = 64;
+/// A batch that isn't sent after this long is dropped.
+const SEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The leader's answer is awaited this long.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
+/// A failed data folder is opened again after this long.
+const REOPEN_AFTER: Duration = Duration::from_millis(300);
+/// Between two wishes of a replica to be taken into the log.
+const JOIN_EVERY: Duration = Duration::from_millis(300);
+
+/// What a directory process needs.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where this process talks to the others.
+    pub address: SocketAddr,
+    /// Where others may be reached at first.
+    pub seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Whether the deployment starts for the first time.
+    pub first_start: bool,
+    /// Where the replica is kept.
+    pub data_folder: PathBuf,
+    /// How long an upstream holds granted keys, in milliseconds.
+    pub hold_ms: u64,
+    /// Voters that the log should have.
+    pub voters: usize,
+}
+
+/// Makes calls to upstreams about their keys.
+pub trait KeyCalls: Send + Sync + 'static {
+    /// Makes one call. Nothing is written at or after `until`.
+    fn call(&self, call: Call, until: Mono) -> impl Future<Output = CallResult> + Send;
+}
+
+/// Why a directory process can't start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartError {
+    /// A thread or its runtime can't be made.
+    Thread,
+    /// The network can't be used.
+    Network,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            StartError::Thread => "can't start a thread",
+            StartError::Network => "can't use the network",
+        })
+    }
+}
+
+impl std::error::Error for StartError {}
+
+enum Input {
+    Raft(RaftBatch),
+    /// A request with where it came from.
+    Ask(Ask, Origin, oneshot::Sender<Reply>),
+    Called(Call, CallResult),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// This process, which wants the leader's answer.
+    Here,
+    /// Another process, which looks for the leader itself.
+    Elsewhere,
+}
+
+/// A running directory process.
+#[derive(Debug)]
+pub struct Directory {
+    handle: Handle,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Asks the directory from any thread of its process; clones share it.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    tx: mpsc::Sender<Input>,
+}
+
+impl Handle {
+    /// Asks the leader, wherever it is. [`Reply::NotLeader`] means that there is no sure answer now.
+    pub async fn ask(&self, ask: Ask) -> Reply {
+        let (tx, rx) = oneshot::channel();
+        if self
+            .tx
+            .send(Input::Ask(ask, Origin::Here, tx))
+            .await
+            .is_err()
+        {
+            return Reply::NotLeader(None);
+        }
+        rx.await.unwrap_or(Reply::NotLeader(None))
+    }
+}
+
+impl Directory {
+    /// Starts the replica's thread and returns once it listens.
+    pub fn spawn<C: KeyCalls>(
+        settings: Settings,
+        tls: Tls,
+        calls: C,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> Result<Directory, Report<StartError>> {
+        let (stop, stopped) = watch::channel(false);
+        let (tx, rx) = mpsc::channel(QUEUE_MAX);
+        let (ready, started) = std::sync::mpsc::channel();
+        let handle = Handle { tx: tx.clone() };
+        let run = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            let runtime = match runtime {
+                Ok(runtime) => runtime,
+                Err(e) => {
+                    let report = Report::new(e).change_context(StartError::Thread);
+                    let _ = ready.send(Err(report));
+                    return;
+                }
+            };
+            runtime.block_on(async move {
+                let bound =
+                    Endpoint::bind(settings.address, BTreeMap::new(), &tls, recorder.clone());
+                let endpoint = match bound.change_context(StartError::Network) {
+                    Ok(endpoint) => endpoint,
+                    Err(e) => {
+                        let _ = ready.send(Err(e));
+                        return;
+                    }
+                };
+                let _ = ready.send(Ok(()));
+                let host = Host {
+                    settings,
+                    endpoint,
+                    recorder,
+                    clock,
+                    tx,
+                    calls: Arc::new(calls),
+                    peers: BTreeMap::new(),
+                    hosts: BTreeMap::new(),
+                };
+                host.run(rx, stopped).await;
+            });
+        };
+        let thread = std::thread::Builder::new()
+            .name("directory".to_string())
+            .spawn(run)
+            .change_context(StartError::Thread)?;
+        started.recv().change_context(StartError::Thread)??;
+        Ok(Directory {
+            handle,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns a handle for requests.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Stops the replica and waits for its thread.
+    pub fn stop(mut self) {
+        let _ = self.stop.send(true);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+type Member = Replica<Storage, oneshot::Sender<Reply>>;
+
+struct Host<C> {
+    settings: Settings,
+    endpoint: Endpoint,
+    recorder: Recorder,
+    clock: Clock,
+    tx: mpsc::Sender<Input>,
+    calls: Arc<C>,
+    peers: BTreeMap<String, mpsc::Sender<RaftBatch>>,
+    /// Where replicas write from; one that was just taken in knows no membership yet.
+    hosts: BTreeMap<ReplicaId, String>,
+}
+
+impl<C: KeyCalls> Host<C> {
+    async fn run(mut self, mut rx: mpsc::Receiver<Input>, mut stopped: watch::Receiver<bool>) {
+        let server = Server {
+            endpoint: self.endpoint.clone(),
+            tx: self.tx.clone(),
+        };
+        let endpoint = self.endpoint.clone();
+        tokio::spawn(async move {
+            let serve = move |incoming| {
+                let server = server.clone();
+                async move { server.serve(incoming).await }
+            };
+            endpoint.accept(serve).await;
+        });
+        loop {
+            let opened = self.open();
+            let reason = match opened {
+                Ok(member) => match self.drive(member, &mut rx, &mut stopped).await {
+                    Ok(()) => break,
+                    Err(e) => e.current_context().to_string(),
+                },
+                Err(e) => {
+                    if let StorageError::Corrupt(..) = e.current_context() {
+                        self.set_aside(&e.current_context().to_string());
+                    }
+                    e.current_context().to_string()
+                }
+            };
+            self.recorder.record(Event::StorageFailed { reason });
+            tokio::time::sleep(REOPEN_AFTER).await;
+        }
+        self.endpoint.close();
+    }
+
+    /// Opens the data folder; founders of a new deployment write the state that they all begin with.
+    fn open(&self) -> Result<Member, Report<StorageError>> {
+        let address = self.settings.address;
+        let seeds = self.seeds();
+        let founds = self.settings.first_start && seeds.contains(&address);
+        let fresh = if founds {
+            founder_id(address)
+        } else {
+            ReplicaId(rand::random())
+        };
+        let (mut storage, mut recovered) = Storage::open(&self.settings.data_folder, fresh)?;
+        let is_empty = recovered.log.snapshot().membership.voters.is_empty()
+            && recovered.log.last_index() == 0;
+        if founds && is_empty {
+            let snapshot = founding(&seeds);
+            storage.save_snapshot(&snapshot, &[])?;
+            recovered.log = Log::new(snapshot, Vec::new());
+        }
+        if recovered.torn_bytes > 0 {
+            self.recorder.record(Event::TornRecord {
+                cell: LOG_NAME.to_string(),
+                bytes: recovered.torn_bytes,
+            });
+        }
+        let start = Start {
+            timing: Timing {
+                heartbeat_ms: HEARTBEAT_MS,
+                election_ms: ELECTION_MS,
+                reserve_ms: 0,
+            },
+            hold_ms: self.settings.hold_ms,
+            voters: self.settings.voters,
+            recovered,
+            seed: rand::random(),
+        };
+        Ok(Replica::open(storage, start, self.clock.now()))
+    }
+
+    fn set_aside(&self, reason: &str) {
+        let folder = &self.settings.data_folder;
+        let mut reason = reason.to_string();
+        for name in ["identity", "log", "snapshot"] {
+            if let Err(e) = std::fs::remove_file(folder.join(name)) {
+                reason.push_str(&format!("; {name}: {e}"));
+            }
+        }
+        self.recorder.record(Event::FolderReplaced { reason });
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        match self.settings.seeds.lock() {
+            Ok(seeds) => seeds.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        }
+    }
+
+    async fn drive(
+        &mut self,
+        mut member: Member,
+        rx: &mut mpsc::Receiver<Input>,
+        stopped: &mut watch::Receiver<bool>,
+    ) -> Result<(), Report<StorageError>> {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut join_at = self.clock.now().plus(ELECTION_MS);
+        loop {
+            tokio::select! {
+                _ = stopped.changed() => return Ok(()),
+                _ = tick.tick() => {}
+                input = rx.recv() => {
+                    let Some(input) = input else { return Ok(()) };
+                    self.take(&mut member, input)?;
+                    // What else has arrived is taken before the clock is looked at again.
+                    while let Ok(input) = rx.try_recv() {
+                        self.take(&mut member, input)?;
+                    }
+                }
+            }
+            let now = self.clock.now();
+            let output = member.tick(now)?;
+            self.finish(&member, output);
+            let is_member = member
+                .raft()
+                .membership()
+                .replicas()
+                .any(|(id, _)| id == member.raft().id());
+            let is_lost = !is_member || member.raft().leader().is_none();
+            if is_lost && now >= join_at {
+                join_at = now.plus(JOIN_EVERY.as_millis() as u64);
+                self.ask_to_join(&member);
+            }
+        }
+    }
+
+    fn take(&mut self, member: &mut Member, input: Input) -> Result<(), Report<StorageError>> {
+        let now = self.clock.now();
+        let output = match input {
+            Input::Raft(batch) => {
+                for msg in &batch.messages {
+                    self.hosts.insert(msg.from, batch.host.clone());
+                }
+                member.receive(batch.messages, now)?
+            }
+            Input::Ask(ask, origin, tx) => {
+                if !member.leads() {
+                    self.forward(member, ask, origin, tx);
+                    return Ok(());
+                }
+                member.ask(ask, tx, now)?
+            }
+            Input::Called(call, result) => {
+                if !matches!(result, CallResult::Done(_)) {
+                    self.recorder.record(Event::CallFailed {
+                        number: call.number,
+                        address: call.address.to_string(),
+                        order: format!("{:?}", call.order),
+                        from: call.from,
+                        to: call.to,
+                        fence: call.fence,
+                        result: format!("{result:?}"),
+                    });
+                }
+                member.finish_call(call.number, result, now)?
+            }
+        };
+        self.finish(member, output);
+        Ok(())
+    }
+
+    /// Passes a request on to the leader. Another process is only told where that is.
+    fn forward(&self, member: &Member, ask: Ask, origin: Origin, tx: oneshot::Sender<Reply>) {
+        let own = self.settings.address.to_string();
+        let leader = member.leader_host().filter(|host| *host != own);
+        let Some(leader) = leader else {
+            let _ = tx.send(Reply::NotLeader(None));
+            return;
+        };
+        if origin == Origin::Elsewhere {
+            let _ = tx.send(Reply::NotLeader(Some(leader)));
+            return;
+        }
+        let endpoint = self.endpoint.clone();
+        tokio::spawn(async move {
+            let request = Request::Directory(ask);
+            let reply = match endpoint.call(&leader, request, FORWARD_TIMEOUT).await {
+                Ok(Response::Directory(reply)) => reply,
+                // The caller asks again, here or elsewhere; every request bears that.
+                Ok(_) | Err(_) => Reply::NotLeader(None),
+            };
+            let _ = tx.send(reply);
+        });
+    }
+
+    /// Asks the leader, or any process that may know it, to be taken into the log.
+    fn ask_to_join(&self, member: &Member) {
+        let own = self.settings.address.to_string();
+        let known = member.raft().membership().replicas();
+        let mut hosts: Vec<String> = known.map(|(_, host)| host.clone()).collect();
+        hosts.extend(self.seeds().iter().map(SocketAddr::to_string));
+        hosts.retain(|host| *host != own);
+        hosts.dedup();
+        let ask = Ask::Join {
+            host: own.clone(),
+            replica: member.raft().id(),
+        };
+        let endpoint = self.endpoint.clone();
+        tokio::spawn(async move {
+            for host in hosts {
+                let request = Request::Directory(ask.clone());
+                let reply = endpoint.call(&host, request, FORWARD_TIMEOUT).await;
+                let leader = match reply {
+                    Ok(Response::Directory(Reply::Done)) => return,
+                    Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => leader,
+                    _ => continue,
+                };
+                let request = Request::Directory(ask.clone());
+                let reply = endpoint.call(&leader, request, FORWARD_TIMEOUT).await;
+                if matches!(reply, Ok(Response::Directory(Reply::Done))) {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Sends what a step handed out.
+    fn finish(&mut self, member: &Member, output: Output<oneshot::Sender<Reply>>) {
+        for event in output.events {
+            self.recorder.record(event);
+        }
+        for (tx, reply) in output.replies {
+            let _ = tx.send(reply);
+        }
+        let mut by_host: BTreeMap<String, Vec<Message>> = BTreeMap::new();
+        for msg in output.messages {
+            let mut replicas = member.raft().membership().replicas();
+            let known = replicas.find(|(id, _)| *id == msg.to);
+            let host = known.map(|(_, host)| host.clone());
+            if let Some(host) = host.or_else(|| self.hosts.get(&msg.to).cloned()) {
+                by_host.entry(host).or_default().push(msg);
+            }
+        }
+        for (host, messages) in by_host {
+            self.send(host, messages);
+        }
+        for call in output.calls {
+            let calls = self.calls.clone();
+            let tx = self.tx.clone();
+            let until = output.calls_until;
+            tokio::spawn(async move {
+                let result = calls.call(call.clone(), until).await;
+                let _ = tx.send(Input::Called(call, result)).await;
+            });
+        }
+    }
+
+    fn send(&mut self, host: String, messages: Vec<Message>) {
+        let endpoint = self.endpoint.clone();
+        let peer = host.clone();
+        let queue = self.peers.entry(host).or_insert_with(|| {
+            let (tx, mut rx) = mpsc::channel::<RaftBatch>(PEER_QUEUE_MAX);
+            tokio::spawn(async move {
+                while let Some(batch) = rx.recv().await {
+                    let send = endpoint.send(&peer, Request::Raft(batch));
+                    // A lost batch is sent again by the log's own heartbeats.
+                    let _ = tokio::time::timeout(SEND_TIMEOUT, send).await;
+                }
+            });
+            tx
+        });
+        let batch = RaftBatch {
+            cell: LOG_NAME.to_string(),
+            host: self.settings.address.to_string(),
+            messages,
+        };
+        let _ = queue.try_send(batch);
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    endpoint: Endpoint,
+    tx: mpsc::Sender<Input>,
+}
+
+impl Server {
+    async fn serve(&self, incoming: Incoming) {
+        let response = match incoming.request {
+            Request::Raft(batch) => {
+                let _ = self.tx.send(Input::Raft(batch)).await;
+                return;
+            }
+            Request::Directory(ask) => {
+                let (tx, rx) = oneshot::channel();
+                let _ = self.tx.send(Input::Ask(ask, Origin::Elsewhere, tx)).await;
+                Response::Directory(rx.await.unwrap_or(Reply::NotLeader(None)))
+            }
+            Request::Ping => Response::Ack,
+            _ => Response::Unsupported,
+        };
+        if let Some(mut tx) = incoming.tx {
+            // A caller that has gone asks again.
+            let _ = self.endpoint.answer(&mut tx, response).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/directory/lessor.rs
@@ -0,0 +1,585 @@
+//! Grants keys to upstreams and takes them back.
+//!
+//! Ownership is in the log before a grant is sent. Keys change owner only once the old owner gave
+//! them back or can't hold them any longer, by the slowest clock allowed. Time and the results of
+//! calls are inputs; the calls to make are the output.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::clock::Mono;
+
+use super::balance::{KeyRates, Moving, Plan};
+use super::model::{parts_outside, Incarnation, Key, KeyRange, KeyTable, Phase};
+use super::state::{Command, State};
+
+/// Two services' ranges in this module are told apart by name.
+type Place = (String, u64, Key);
+
+/// Renewals go out this many times while a grant lasts, so that one may be lost.
+const RENEWALS_PER_HOLD: u64 = 3;
+/// Time for which an upstream's slow clock may stretch a hold: 2% by contract, and one for rounding.
+const SLOW_CLOCK_PERCENT: u64 = 3;
+/// What is added to each bound for timers and delivery, in milliseconds.
+const MARGIN_MS: u64 = 150;
+/// A grant's answer is awaited this long, in milliseconds.
+pub const GRANT_TIMEOUT_MS: u64 = 500;
+/// An upstream that answers nothing for this long is taken for lost, in milliseconds.
+const SILENT_MS: u64 = 2_000;
+/// The pause before a failed call is made again, in milliseconds.
+const RETRY_MS: u64 = 150;
+/// Ranges that may change owner at once.
+const MOVES_MAX: usize = 24;
+/// Between two planning rounds, in milliseconds.
+const PLAN_EVERY_MS: u64 = 250;
+/// The first layout waits this long for a service's upstreams to appear, in milliseconds.
+const GATHER_MS: u64 = 1_000;
+/// Ranges that each upstream gets in the first layout.
+const RANGES_FIRST: usize = 2;
+
+/// A call to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Grants or renews keys.
+    Grant {
+        /// How long the upstream may hold them, in milliseconds.
+        hold_ms: u64,
+        /// The last owner's handover.
+        handover: Option<String>,
+    },
+    /// Takes keys back.
+    Release,
+}
+
+/// A call to make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Names the call in its result.
+    pub number: u64,
+    /// Whom to call.
+    pub address: SocketAddr,
+    /// The service, for logs.
+    pub service: String,
+    /// The first key.
+    pub from: Key,
+    /// The last key.
+    pub to: Key,
+    /// The fencing token.
+    pub fence: u64,
+    /// What to ask.
+    pub order: Order,
+    /// How long to wait for the answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallResult {
+    /// It was carried out; a release carries the handover.
+    Done(Option<String>),
+    /// The upstream has seen a higher fencing token.
+    Fenced,
+    /// Nothing was sent.
+    NotSent,
+    /// It may be carried out, now or later.
+    Unknown,
+}
+
+/// What the last owner may still hold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bounds {
+    /// By grants that were answered.
+    confirmed_until: Mono,
+    /// By grants that weren't: these may be applied after a release.
+    doubtful_until: Mono,
+    /// When the upstream last answered or announced itself.
+    heard_at: Mono,
+}
+
+#[derive(Clone, Debug)]
+struct Renewal {
+    to: Key,
+    in_flight: bool,
+    next_at: Mono,
+    handover: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Waits for grants on the keys that are under way.
+    Settling,
+    /// The release is on its way.
+    Releasing,
+    /// The release failed and is sent again at this point.
+    Retrying(Mono),
+    /// The old owner holds the keys until this point at most.
+    Waiting(Mono),
+    /// The new owner was proposed.
+    Proposed,
+}
+
+#[derive(Clone, Debug)]
+struct Move {
+    service: String,
+    from: Key,
+    to: Key,
+    fence: u64,
+    donor: Incarnation,
+    receiver: Option<Incarnation>,
+    stage: Stage,
+    /// When the donor can't hold the keys any longer, whatever it was sent.
+    expires_at: Mono,
+    /// The same, for grants that weren't answered.
+    doubtful_until: Mono,
+}
+
+#[derive(Clone, Debug)]
+enum Pending {
+    Grant {
+        owner: Incarnation,
+        place: Place,
+        to: Key,
+    },
+    Release {
+        service: String,
+        from: Key,
+    },
+}
+
+/// What a step asks for.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// Calls to make, in any order.
+    pub calls: Vec<Call>,
+    /// Commands to propose.
+    pub commands: Vec<Command>,
+}
+
+/// The leader's book of grants.
+#[derive(Debug)]
+pub struct Lessor {
+    hold_ms: u64,
+    elected_at: Mono,
+    bounds: BTreeMap<Incarnation, Bounds>,
+    renewals: BTreeMap<Place, Renewal>,
+    moves: Vec<Move>,
+    pending: BTreeMap<u64, Pending>,
+    handovers: BTreeMap<(String, Key, Key), String>,
+    fenced: BTreeSet<Place>,
+    rates: BTreeMap<String, KeyRates>,
+    first_seen: BTreeMap<String, Mono>,
+    next_number: u64,
+    planned_at: Mono,
+    decayed_at: Mono,
+    proposed_layout: BTreeSet<String>,
+}
+
+impl Lessor {
+    /// Returns the book of a leader that was just elected: what earlier leaders granted may last
+    /// as long as a grant sent right before the election.
+    pub fn new(hold_ms: u64, elected_at: Mono) -> Lessor {
+        Lessor {
+            hold_ms,
+            elected_at,
+            bounds: BTreeMap::new(),
+            renewals: BTreeMap::new(),
+            moves: Vec::new(),
+            pending: BTreeMap::new(),
+            handovers: BTreeMap::new(),
+            fenced: BTreeSet::new(),
+            rates: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
+            next_number: 1,
+            planned_at: elected_at,
+            decayed_at: elected_at,
+            proposed_layout: BTreeSet::new(),
+        }
+    }
+
+    /// Notes that an upstream announced itself.
+    pub fn hear(&mut self, who: &Incarnation, now: Mono) {
+        let elected_at = self.elected_at;
+        let hold_ms = self.hold_ms;
+        let bounds = self
+            .bounds
+            .entry(who.clone())
+            .or_insert_with(|| inherited(hold_ms, elected_at));
+        bounds.heard_at = now;
+    }
+
+    /// Adds requests that entry hosts have seen.
+    pub fn report(&mut self, service: &str, counts: &[(Key, u32)]) {
+        let rates = self.rates.entry(service.to_string()).or_default();
+        for (key, count) in counts {
+            rates.add(*key, *count);
+        }
+    }
+
+    /// Takes the result of a call.
+    pub fn finish(&mut self, number: u64, result: CallResult, now: Mono) {
+        match self.pending.remove(&number) {
+            Some(Pending::Grant { owner, place, .. }) => self.granted(owner, &place, result, now),
+            Some(Pending::Release { service, from }) => self.released(&service, from, result, now),
+            None => {}
+        }
+    }
+
+    /// Decides what to do now. Calls are returned only while `may_call` holds: a leader whose lease
+    /// ran out may have a successor.
+    pub fn step(&mut self, state: &State, now: Mono, may_call: bool) -> Step {
+        let mut step = Step::default();
+        self.note_ended(state, now);
+        if now.since(self.decayed_at) >= PLAN_EVERY_MS {
+            let elapsed_ms = now.since(self.decayed_at);
+            self.rates.values_mut().for_each(|r| r.decay(elapsed_ms));
+            self.decayed_at = now;
+        }
+        let Some(stored) = &state.config else {
+            return step;
+        };
+        let plan_due = now.since(self.planned_at) >= PLAN_EVERY_MS;
+        if plan_due {
+            self.planned_at = now;
+        }
+        for (name, service) in &stored.config.services {
+            if !service.keyed {
+                continue;
+            }
+            self.lay_out(name, state, now, &mut step);
+            if plan_due {
+                self.plan_moves(name, state, now);
+            }
+        }
+        self.advance_moves(state, now, may_call, &mut step);
+        self.replace_fences(state, &mut step);
+        if may_call {
+            self.renew(state, now, &mut step);
+        }
+        step
+    }
+
+    fn note_ended(&mut self, state: &State, now: Mono) {
+        self.moves.retain(|m| {
+            let table = state.owners.get(&m.service);
+            let range = table.and_then(|t| t.owner_of(m.from));
+            range.is_some_and(|r| r.fence == m.fence)
+        });
+        let elected_at = self.elected_at;
+        let hold_ms = self.hold_ms;
+        for table in state.owners.values() {
+            for range in table.ranges.values() {
+                self.bounds
+                    .entry(range.owner.clone())
+                    .or_insert_with(|| inherited(hold_ms, elected_at));
+            }
+        }
+        for (who, bounds) in &mut self.bounds {
+            if state.has_ended(who) {
+                bounds.confirmed_until = bounds.confirmed_until.min(now);
+                bounds.doubtful_until = bounds.doubtful_until.min(now);
+            }
+        }
+    }
+
+    fn candidates(&self, service: &str, state: &State, now: Mono) -> BTreeSet<Incarnation> {
+        let ready = state.upstreams.values().filter(|u| {
+            u.service == service && u.phase == Phase::Ready && !self.is_silent(&u.incarnation, now)
+        });
+        ready.map(|u| u.incarnation.clone()).collect()
+    }
+
+    fn is_silent(&self, who: &Incarnation, now: Mono) -> bool {
+        let heard_at = self.bounds.get(who).map_or(self.elected_at, |b| b.heard_at);
+        now.since(heard_at) > SILENT_MS
+    }
+
+    /// Gives keys that nobody owns to the upstreams at hand.
+    fn lay_out(&mut self, service: &str, state: &State, now: Mono, step: &mut Step) {
+        let empty = KeyTable::default();
+        let table = state.owners.get(service).unwrap_or(&empty);
+        let gaps = table.gaps();
+        if gaps.is_empty() || self.proposed_layout.contains(service) {
+            return;
+        }
+        let candidates: Vec<Incarnation> =
+            self.candidates(service, state, now).into_iter().collect();
+        if candidates.is_empty() {
+            return;
+        }
+        let first_seen = *self.first_seen.entry(service.to_string()).or_insert(now);
+        if now.since(first_seen) < GATHER_MS {
+            return;
+        }
+        self.proposed_layout.insert(service.to_string());
+        let pieces = candidates.len() * RANGES_FIRST;
+        for (from, to) in gaps {
+            let keys = u32::from(to) - u32::from(from) + 1;
+            let width = keys.div_ceil(pieces as u32).max(1);
+            for (n, start) in (u32::from(from)..=u32::from(to))
+                .step_by(width as usize)
+                .enumerate()
+            {
+                let end = (start + width - 1).min(u32::from(to));
+                step.commands.push(Command::Assign {
+                    service: service.to_string(),
+                    from: start as Key,
+                    to: end as Key,
+                    owner: candidates[n % candidates.len()].clone(),
+                });
+            }
+        }
+    }
+
+    /// Starts moves away from owners that leave or are lost, and from those with too much load.
+    fn plan_moves(&mut self, service: &str, state: &State, now: Mono) {
+        let Some(table) = state.owners.get(service) else {
+            return;
+        };
+        let candidates = self.candidates(service, state, now);
+        if candidates.is_empty() {
+            return;
+        }
+        let moving: Vec<Moving> = self
+            .moves
+            .iter()
+            .filter(|m| m.service == service)
+            .map(|m| Moving {
+                from: m.from,
+                to: m.to,
+                receiver: m.receiver.clone(),
+            })
+            .collect();
+        let mut started: Vec<(KeyRange, Option<Incarnation>)> = Vec::new();
+        for range in table.ranges.values() {
+            if candidates.contains(&range.owner) {
+                continue;
+            }
+            for (from, to) in self.settled_parts(service, range) {
+                let part = KeyRange {
+                    from,
+                    to,
+                    ..range.clone()
+                };
+                started.push((part, None));
+            }
+        }
+        let room = MOVES_MAX.saturating_sub(self.moves.len());
+        let rates = self.rates.entry(service.to_string()).or_default();
+        let plan = Plan {
+            table,
+            rates,
+            owners: &candidates,
+            moving: &moving,
+        };
+        for transfer in plan.transfers(room) {
+            let Some(range) = table.owner_of(transfer.from) else {
+                continue;
+            };
+            let part = KeyRange {
+                from: transfer.from,
+                to: transfer.to,
+                ..range.clone()
+            };
+            started.push((part, Some(transfer.receiver)));
+        }
+        for (range, receiver) in started {
+            self.moves.push(Move {
+                service: service.to_string(),
+                from: range.from,
+                to: range.to,
+                fence: range.fence,
+                donor: range.owner,
+                receiver,
+                stage: Stage::Settling,
+                expires_at: now,
+                doubtful_until: now,
+            });
+        }
+    }
+
+    fn advance_moves(&mut self, state: &State, now: Mono, may_call: bool, step: &mut Step) {
+        let mut moves = std::mem::take(&mut self.moves);
+        let mut loads = self.key_counts(state);
+        for m in &mut moves {
+            self.advance_move(m, state, now, may_call, &mut loads, step);
+        }
+        self.moves = moves;
+    }
+
+    fn advance_move(
+        &mut self,
+        m: &mut Move,
+        state: &State,
+        now: Mono,
+        may_call: bool,
+        loads: &mut BTreeMap<Incarnation, u32>,
+        step: &mut Step,
+    ) {
+        let bounds = self.bounds.get(&m.donor).copied().unwrap_or_default();
+        if state.has_ended(&m.donor) && m.stage != Stage::Proposed {
+            m.stage = Stage::Waiting(now);
+        }
+        if m.stage == Stage::Settling && !self.has_grant_in_flight(m) {
+            m.expires_at = bounds.confirmed_until.max(bounds.doubtful_until);
+            m.doubtful_until = bounds.doubtful_until;
+            m.stage = Stage::Retrying(now);
+        }
+        if let Stage::Retrying(at) = m.stage {
+            let donor = state.live(&m.donor);
+            if now >= m.expires_at {
+                m.stage = Stage::Waiting(now);
+            } else if let (Some(donor), true, true) = (donor, may_call, now >= at) {
+                let number = self.number();
+                let pending = Pending::Release {
+                    service: m.service.clone(),
+                    from: m.from,
+                };
+                self.pending.insert(number, pending);
+                step.calls.push(Call {
+                    number,
+                    address: donor.address,
+                    service: m.service.clone(),
+                    from: m.from,
+                    to: m.to,
+                    fence: m.fence,
+                    order: Order::Release,
+                    timeout_ms: m.expires_at.since(now).max(GRANT_TIMEOUT_MS),
+                });
+                m.stage = Stage::Releasing;
+            }
+        }
+        if m.stage == Stage::Releasing && now >= m.expires_at {
+            m.stage = Stage::Waiting(now);
+        }
+        let Stage::Waiting(until) = m.stage else {
+            return;
+        };
+        if now < until {
+            return;
+        }
+        let candidates = self.candidates(&m.service, state, now);
+        let chosen = m.receiver.clone().filter(|r| candidates.contains(r));
+        let fewest = || {
+            candidates
+                .iter()
+                .min_by_key(|c| loads.get(*c).copied().unwrap_or(0))
+                .cloned()
+        };
+        let Some(owner) = chosen.or_else(fewest) else {
+            return;
+        };
+        *loads.entry(owner.clone()).or_default() += u32::from(m.to - m.from) + 1;
+        step.commands.push(Command::Assign {
+            service: m.service.clone(),
+            from: m.from,
+            to: m.to,
+            owner,
+        });
+        m.stage = Stage::Proposed;
+    }
+
+    /// Draws new fencing tokens for keys whose upstream has seen a higher one.
+    fn replace_fences(&mut self, state: &State, step: &mut Step) {
+        for (service, fence, from) in std::mem::take(&mut self.fenced) {
+            let table = state.owners.get(&service);
+            let Some(range) = table.and_then(|t| t.owner_of(from)) else {
+                continue;
+            };
+            if range.fence == fence {
+                step.commands.push(Command::Assign {
+                    service,
+                    from: range.from,
+                    to: range.to,
+                    owner: range.owner.clone(),
+                });
+            }
+        }
+    }
+
+    fn key_counts(&self, state: &State) -> BTreeMap<Incarnation, u32> {
+        let mut counts: BTreeMap<Incarnation, u32> = BTreeMap::new();
+        for range in state.owners.values().flat_map(|t| t.ranges.values()) {
+            *counts.entry(range.owner.clone()).or_default() += u32::from(range.to - range.from) + 1;
+        }
+        counts
+    }
+
+    fn has_grant_in_flight(&self, m: &Move) -> bool {
+        self.pending.values().any(|p| match p {
+            Pending::Grant { place, to, .. } => {
+                let (service, fence, from) = place;
+                *service == m.service && *fence == m.fence && *from <= m.to && *to >= m.from
+            }
+            Pending::Release { .. } => false,
+        })
+    }
+
+    /// Sends grants and renewals that are due.
+    fn renew(&mut self, state: &State, now: Mono, step: &mut Step) {
+        let mut wanted: BTreeMap<Place, (Key, Incarnation)> = BTreeMap::new();
+        for (service, table) in &state.owners {
+            for range in table.ranges.values() {
+                for (from, to) in self.settled_parts(service, range) {
+                    let place = (service.clone(), range.fence, from);
+                    wanted.insert(place, (to, range.owner.clone()));
+                }
+            }
+        }
+        self.adopt(&wanted, state, now);
+        for (place, (to, owner)) in wanted {
+            let Some(upstream) = state.live(&owner) else {
+                continue;
+            };
+            let is_silent = self.is_silent(&owner, now);
+            let Some(renewal) = self.renewals.get_mut(&place) else {
+                continue;
+            };
+            if renewal.in_flight || now < renewal.next_at || is_silent {
+                continue;
+            }
+            renewal.in_flight = true;
+            let handover = renewal.handover.clone();
+            let number = self.number();
+            let (service, fence, from) = place.clone();
+            self.pending
+                .insert(number, Pending::Grant { owner, place, to });
+            step.calls.push(Call {
+                number,
+                address: upstream.address,
+                service,
+                from,
+                to,
+                fence,
+                order: Order::Grant {
+                    hold_ms: self.hold_ms,
+                    handover,
+                },
+                timeout_ms: GRANT_TIMEOUT_MS,
+            });
+        }
+    }
+}
+
+mod book;
+
+fn inherited(hold_ms: u64, elected_at: Mono) -> Bounds {
+    let until = elected_at.plus(GRANT_TIMEOUT_MS + longest_hold_ms(hold_ms));
+    Bounds {
+        confirmed_until: until,
+        doubtful_until: until,
+        heard_at: elected_at,
+    }
+}
+
+/// Returns the longest that a grant of `hold_ms` may last by a slow clock, in milliseconds.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::directory::lessor::longest_hold_ms;
+///
+/// assert_eq!(longest_hold_ms(3_000), 3_000 + 90 + 150);
+/// ```
+pub fn longest_hold_ms(hold_ms: u64) -> u64 {
+    hold_ms + hold_ms * SLOW_CLOCK_PERCENT / 100 + MARGIN_MS
+}
--- /dev/null
+++ b/src/directory/lessor/book.rs
@@ -0,0 +1,113 @@
+//! How results of calls and changes of the table are entered in the book.
+
+use super::*;
+
+impl Lessor {
+    pub(super) fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// Returns the parts of `range` that aren't changing owner.
+    pub(super) fn settled_parts(&self, service: &str, range: &KeyRange) -> Vec<(Key, Key)> {
+        let moves = self.moves.iter();
+        let cuts = moves
+            .filter(|m| m.service == service && m.fence == range.fence)
+            .map(|m| (m.from, m.to))
+            .collect();
+        parts_outside(range.from, range.to, cuts)
+    }
+
+    /// Follows the table: parts that were cut off a granted range are renewed when it was due.
+    pub(super) fn adopt(
+        &mut self,
+        wanted: &BTreeMap<Place, (Key, Incarnation)>,
+        state: &State,
+        now: Mono,
+    ) {
+        let old = std::mem::take(&mut self.renewals);
+        for (place, (to, _)) in wanted {
+            let (service, fence, from) = place;
+            let within = old.range((service.clone(), *fence, 0)..=place.clone());
+            let parent = within.rev().find(|(_, r)| r.to >= *from);
+            let mut next = match parent {
+                Some((at, parent)) => Renewal {
+                    in_flight: parent.in_flight && at == place,
+                    ..parent.clone()
+                },
+                None => Renewal {
+                    to: *to,
+                    in_flight: false,
+                    next_at: now,
+                    handover: self.taken_handover(service, *fence, *from, state),
+                },
+            };
+            next.to = *to;
+            self.renewals.insert(place.clone(), next);
+        }
+    }
+
+    /// Returns the handover that the last owner gave for keys that now have a new fence.
+    fn taken_handover(
+        &mut self,
+        service: &str,
+        fence: u64,
+        from: Key,
+        state: &State,
+    ) -> Option<String> {
+        let range = state.owners.get(service)?.owner_of(from)?;
+        if range.fence != fence || range.from != from {
+            return None;
+        }
+        self.handovers
+            .remove(&(service.to_string(), from, range.to))
+    }
+
+    pub(super) fn granted(
+        &mut self,
+        owner: Incarnation,
+        place: &Place,
+        result: CallResult,
+        now: Mono,
+    ) {
+        let until = now.plus(longest_hold_ms(self.hold_ms));
+        let bounds = self.bounds.entry(owner).or_default();
+        let mut next_at = now.plus(RETRY_MS);
+        match result {
+            CallResult::Done(_) => {
+                bounds.confirmed_until = bounds.confirmed_until.max(until);
+                bounds.heard_at = now;
+                next_at = now.plus(self.hold_ms / RENEWALS_PER_HOLD);
+            }
+            CallResult::Fenced => {
+                bounds.heard_at = now;
+                self.fenced.insert(place.clone());
+            }
+            CallResult::NotSent => {}
+            CallResult::Unknown => bounds.doubtful_until = bounds.doubtful_until.max(until),
+        }
+        if let Some(renewal) = self.renewals.get_mut(place) {
+            renewal.in_flight = false;
+            renewal.next_at = next_at;
+        }
+    }
+
+    pub(super) fn released(&mut self, service: &str, from: Key, result: CallResult, now: Mono) {
+        let mut moves = self.moves.iter_mut();
+        let releasing =
+            |m: &&mut Move| m.service == service && m.from == from && m.stage == Stage::Releasing;
+        let Some(m) = moves.find(releasing) else {
+            return;
+        };
+        match result {
+            CallResult::Done(handover) => {
+                m.stage = Stage::Waiting(m.doubtful_until.max(now));
+                if let Some(handover) = handover {
+                    let place = (service.to_string(), m.from, m.to);
+                    self.handovers.insert(place, handover);
+                }
+            }
+            _ => m.stage = Stage::Retrying(now.plus(RETRY_MS)),
+        }
+    }
+}
--- /dev/null
+++ b/src/directory/mod.rs
@@ -0,0 +1,12 @@
+//! The directory: one replicated log over all regions that decides the route configuration, which
+//! upstreams there are, and who owns which keys. It grants keys to upstreams that check fences
+//! themselves, and entry hosts follow its changes.
+
+pub mod ask;
+pub mod balance;
+pub mod daemon;
+pub mod lessor;
+pub mod membership;
+pub mod model;
+pub mod replica;
+pub mod state;
--- /dev/null
+++ b/src/directory/replica.rs
@@ -0,0 +1,579 @@
+//! One replica of the directory: its log, its state, and while it leads the waiting requests and
+//! the book of grants.
+//!
+//! Time, messages and results of calls are inputs; what is to be sent comes back as [`Output`]. The
+//! only effect is on the [`Store`], which is written before anything that depends on it is returned.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use error_stack::Report;
+use serde::Serialize;
+
+use crate::cell::store::Store;
+use crate::clock::Mono;
+use crate::event::Event;
+use crate::raft::{Entry, Log, Message, Payload, Raft, Ready, Timing};
+use crate::storage::StorageError;
+
+use super::ask::{Ask, Reply, Update};
+use super::lessor::{Call, CallResult, Lessor};
+use super::membership::Roster;
+use super::state::{Command, State, Versions};
+
+/// The name of this log in events and messages.
+pub const LOG_NAME: &str = "directory";
+/// How long a follower's request waits for a change, in milliseconds.
+const FOLLOW_HOLD_MS: u64 = 400;
+/// The lease of a leader ends this much before a successor can be elected, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 150;
+/// Between two looks at what is to be granted, in milliseconds.
+const LEND_EVERY_MS: u64 = 20;
+/// An entry host that hasn't asked for this long isn't counted, in milliseconds.
+const FOLLOWER_GONE_MS: u64 = 3_000;
+/// An upstream that hasn't been heard of for this long is forgotten, in milliseconds.
+const FORGET_AFTER_MS: u64 = 60_000;
+
+/// What a step hands out.
+#[derive(Debug)]
+pub struct Output<T> {
+    /// Messages to other replicas.
+    pub messages: Vec<Message>,
+    /// Answers to requests.
+    pub replies: Vec<(T, Reply)>,
+    /// Calls to upstreams.
+    pub calls: Vec<Call>,
+    /// Calls may be written until this point only.
+    pub calls_until: Mono,
+    /// What happened.
+    pub events: Vec<Event>,
+}
+
+impl<T> Default for Output<T> {
+    fn default() -> Output<T> {
+        Output {
+            messages: Vec::new(),
+            replies: Vec::new(),
+            calls: Vec::new(),
+            calls_until: Mono(0),
+            events: Vec::new(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    ask: Ask,
+    token: T,
+    round: u64,
+    answer_at: Mono,
+}
+
+#[derive(Debug)]
+struct Lead<T> {
+    term: u64,
+    lessor: Lessor,
+    lent_at: Mono,
+    lend_pending: u64,
+    waiting: VecDeque<Waiting<T>>,
+    proposals: BTreeMap<u64, (u64, T)>,
+    rounds: VecDeque<(u64, Mono)>,
+    lease_until: Mono,
+    followers: BTreeMap<String, Mono>,
+    heard: BTreeMap<String, Mono>,
+    roster: Roster,
+}
+
+/// What a replica starts from.
+#[derive(Debug)]
+pub struct Start {
+    /// The log's intervals.
+    pub timing: Timing,
+    /// How long an upstream holds granted keys, in milliseconds.
+    pub hold_ms: u64,
+    /// Voters that the log should have.
+    pub voters: usize,
+    /// What the folder held.
+    pub recovered: crate::storage::Recovered,
+    /// Seeds the spread of election intervals.
+    pub seed: u64,
+}
+
+/// One replica of the directory.
+#[derive(Debug)]
+pub struct Replica<S, T> {
+    raft: Raft,
+    store: S,
+    state: State,
+    applied: u64,
+    timing: Timing,
+    hold_ms: u64,
+    voters: usize,
+    lead: Option<Lead<T>>,
+    output: Output<T>,
+}
+
+impl<S: Store, T> Replica<S, T> {
+    /// Returns a replica that goes on from what it stored.
+    pub fn open(store: S, start: Start, now: Mono) -> Replica<S, T> {
+        let recovered = start.recovered;
+        let id = recovered.identity.replica;
+        let state = decode_state(&recovered.log);
+        let applied = recovered.log.snapshot().index;
+        let (hard, log) = (recovered.hard, recovered.log);
+        let mut raft = Raft::open(id, start.timing, hard, log, now, start.seed);
+        // What this replica promised before it was restarted may hold that much longer.
+        raft.withhold_votes(now.plus(start.timing.election_ms));
+        Replica {
+            raft,
+            store,
+            state,
+            applied,
+            timing: start.timing,
+            hold_ms: start.hold_ms,
+            voters: start.voters,
+            lead: None,
+            output: Output::default(),
+        }
+    }
+
+    /// Returns the state as applied here.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the log's replica.
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    /// Returns the storage.
+    pub fn store(&self) -> &S {
+        &self.store
+    }
+
+    /// Tells whether this replica leads and has applied all that was acknowledged.
+    pub fn leads(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// Returns the leader's address, when one is known.
+    pub fn leader_host(&self) -> Option<String> {
+        let leader = self.raft.leader()?;
+        let mut replicas = self.raft.membership().replicas();
+        let (_, host) = replicas.find(|(id, _)| *id == leader)?;
+        Some(host.clone())
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Mono) -> Result<Output<T>, Report<StorageError>> {
+        self.raft.tick(now);
+        self.settle(now)
+    }
+
+    /// Takes messages from other replicas.
+    pub fn receive(
+        &mut self,
+        messages: Vec<Message>,
+        now: Mono,
+    ) -> Result<Output<T>, Report<StorageError>> {
+        for msg in messages {
+            self.raft.receive(msg, now);
+        }
+        self.settle(now)
+    }
+
+    /// Takes a request; the token comes back with the answer.
+    pub fn ask(
+        &mut self,
+        ask: Ask,
+        token: T,
+        now: Mono,
+    ) -> Result<Output<T>, Report<StorageError>> {
+        self.take(ask, token, now);
+        self.settle(now)
+    }
+
+    /// Takes the result of a call to an upstream.
+    pub fn finish_call(
+        &mut self,
+        number: u64,
+        result: CallResult,
+        now: Mono,
+    ) -> Result<Output<T>, Report<StorageError>> {
+        if let Some(lead) = &mut self.lead {
+            lead.lessor.finish(number, result, now);
+        }
+        self.settle(now)
+    }
+
+    fn take(&mut self, ask: Ask, token: T, now: Mono) {
+        let leader = self.leader_host();
+        let Some(lead) = &mut self.lead else {
+            self.output.replies.push((token, Reply::NotLeader(leader)));
+            return;
+        };
+        let mut answer_at = now;
+        match &ask {
+            Ask::Announce(upstream) => {
+                lead.heard.insert(upstream.incarnation.id.clone(), now);
+                if !self.state.would_change(upstream) {
+                    if self.state.live(&upstream.incarnation).is_some() {
+                        lead.lessor.hear(&upstream.incarnation, now);
+                    }
+                    self.output.replies.push((token, Reply::Done));
+                    return;
+                }
+                lead.lessor.hear(&upstream.incarnation, now);
+                let command = Command::Register(upstream.clone());
+                return self.propose(command, token, now);
+            }
+            Ask::Leave(who) => {
+                let command = Command::Deregister(who.clone());
+                return self.propose(command, token, now);
+            }
+            Ask::Configure(stored) => {
+                if stored.config.version <= self.state.config_version() {
+                    self.output.replies.push((token, Reply::Done));
+                    return;
+                }
+                let command = Command::Configure(stored.clone());
+                return self.propose(command, token, now);
+            }
+            Ask::Join { host, replica } => {
+                lead.roster.ask_to_join(host.clone(), *replica, now);
+                self.output.replies.push((token, Reply::Done));
+                return;
+            }
+            Ask::ReadConfig => {}
+            Ask::Follow { host, counts, .. } => {
+                lead.followers.insert(host.clone(), now);
+                for report in counts {
+                    lead.lessor.report(&report.service, &report.counts);
+                }
+                answer_at = now.plus(FOLLOW_HOLD_MS);
+            }
+        }
+        let round = self.raft.current_round().unwrap_or(0) + 1;
+        lead.waiting.push_back(Waiting {
+            ask,
+            token,
+            round,
+            answer_at,
+        });
+    }
+
+    fn propose(&mut self, command: Command, token: T, now: Mono) {
+        let payload = Payload::Command(encode(&command));
+        let term = self.raft.term();
+        match (self.raft.propose(payload, now), &mut self.lead) {
+            (Ok(index), Some(lead)) => {
+                lead.proposals.insert(index, (term, token));
+            }
+            _ => {
+                let reply = Reply::NotLeader(self.leader_host());
+                self.output.replies.push((token, reply));
+            }
+        }
+    }
+
+    /// Stores, applies and decides until nothing is left to do, and returns what is to be sent.
+    fn settle(&mut self, now: Mono) -> Result<Output<T>, Report<StorageError>> {
+        loop {
+            let ready = self.raft.take_ready();
+            let idle = ready.committed.is_empty() && ready.entries.is_empty();
+            self.store_ready(ready)?;
+            self.follow_leadership();
+            if idle {
+                self.extend_lease(now);
+                self.lend(now);
+                self.manage_members(now);
+                if !self.raft.has_ready() {
+                    break;
+                }
+            }
+        }
+        self.answer(now);
+        self.compact()?;
+        Ok(std::mem::take(&mut self.output))
+    }
+
+    fn store_ready(&mut self, ready: Ready) -> Result<(), Report<StorageError>> {
+        if let Some(snapshot) = &ready.snapshot {
+            self.store.append(ready.hard, &[])?;
+            self.store.save_snapshot(snapshot, &ready.entries)?;
+            self.state = decode_state(self.raft.log());
+            self.applied = snapshot.index;
+            self.output.events.push(Event::SnapshotInstalled {
+                cell: LOG_NAME.to_string(),
+                index: snapshot.index,
+            });
+        } else {
+            self.store.append(ready.hard, &ready.entries)?;
+        }
+        self.output.messages.extend(ready.messages);
+        for entry in ready.committed {
+            self.apply(entry);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        assert_eq!(entry.index, self.applied + 1, "entries apply in order");
+        self.applied = entry.index;
+        if let Payload::Command(bytes) = &entry.payload {
+            let command: Command = postcard::from_bytes(bytes).expect("committed commands decode");
+            self.note(&command);
+            self.state.apply(entry.index, command);
+        }
+        if let Payload::Membership(m) = &entry.payload {
+            self.output.events.push(Event::MembershipChanged {
+                cell: LOG_NAME.to_string(),
+                voters: m.voters.values().cloned().collect(),
+                learners: m.learners.values().cloned().collect(),
+            });
+        }
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some((term, token)) = lead.proposals.remove(&entry.index) else {
+            return;
+        };
+        let reply = if term == entry.term {
+            Reply::Done
+        } else {
+            Reply::NotLeader(None)
+        };
+        self.output.replies.push((token, reply));
+    }
+
+    fn note(&mut self, command: &Command) {
+        let event = match command {
+            Command::Configure(stored) if stored.config.version > self.state.config_version() => {
+                Event::RoutesDecided {
+                    version: stored.config.version,
+                    routes: stored.config.routes.len() as u64,
+                }
+            }
+            Command::Register(u) => Event::UpstreamRegistered {
+                upstream: u.incarnation.id.clone(),
+                born_ms: u.incarnation.born_ms,
+                service: u.service.clone(),
+                phase: format!("{:?}", u.phase),
+            },
+            Command::Deregister(who) => Event::UpstreamDeregistered {
+                upstream: who.id.clone(),
+            },
+            Command::Assign {
+                service,
+                from,
+                to,
+                owner,
+            } if self.lead.is_some() => Event::KeysAssigned {
+                service: service.clone(),
+                from: *from,
+                to: *to,
+                owner: owner.id.clone(),
+                fence: self.state.fence + 1,
+            },
+            _ => return,
+        };
+        self.output.events.push(event);
+    }
+
+    fn follow_leadership(&mut self) {
+        let leads = self.raft.is_caught_up_leader();
+        let term = self.raft.term();
+        let same = self.lead.as_ref().is_some_and(|l| l.term == term);
+        if leads && same {
+            return;
+        }
+        if let Some(lead) = self.lead.take() {
+            self.drop_lead(lead);
+        }
+        let Some(elected_at) = self.raft.elected_at().filter(|_| leads) else {
+            return;
+        };
+        self.output.events.push(Event::LeaderElected {
+            cell: LOG_NAME.to_string(),
+            term,
+        });
+        let heard = self.state.upstreams.keys();
+        self.lead = Some(Lead {
+            term,
+            lessor: Lessor::new(self.hold_ms, elected_at),
+            lent_at: Mono(0),
+            lend_pending: 0,
+            waiting: VecDeque::new(),
+            proposals: BTreeMap::new(),
+            rounds: VecDeque::new(),
+            lease_until: Mono(0),
+            followers: BTreeMap::new(),
+            heard: heard.map(|id| (id.clone(), elected_at)).collect(),
+            roster: Roster::new(self.voters),
+        });
+    }
+
+    fn drop_lead(&mut self, lead: Lead<T>) {
+        self.output.events.push(Event::LeaderLost {
+            cell: LOG_NAME.to_string(),
+            term: lead.term,
+        });
+        let waiting = lead.waiting.into_iter().map(|w| w.token);
+        let proposed = lead.proposals.into_values().map(|(_, token)| token);
+        let leader = self.leader_host();
+        for token in waiting.chain(proposed) {
+            let reply = Reply::NotLeader(leader.clone());
+            self.output.replies.push((token, reply));
+        }
+    }
+
+    /// Works out until when no other replica can have been elected: a majority answered a heartbeat
+    /// and gives no vote for the election interval from then on.
+    fn extend_lease(&mut self, now: Mono) {
+        let round = self.raft.current_round().unwrap_or(0);
+        let confirmed = self.raft.confirmed_round().unwrap_or(0);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if lead.rounds.back().is_none_or(|(newest, _)| *newest < round) {
+            lead.rounds.push_back((round, now));
+        }
+        while let Some((begun, at)) = lead.rounds.front().copied() {
+            if begun > confirmed {
+                break;
+            }
+            let until = at.plus(self.timing.election_ms - LEASE_MARGIN_MS);
+            lead.lease_until = lead.lease_until.max(until);
+            lead.rounds.pop_front();
+        }
+    }
+
+    fn lend(&mut self, now: Mono) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if now.since(lead.lent_at) < LEND_EVERY_MS || lead.lend_pending > self.applied {
+            return;
+        }
+        lead.lent_at = now;
+        let may_call = now < lead.lease_until;
+        let step = lead.lessor.step(&self.state, now, may_call);
+        self.output.calls.extend(step.calls);
+        self.output.calls_until = lead.lease_until;
+        let mut commands = step.commands;
+        let is_lost = |id: &String| {
+            let heard_at = lead.heard.get(id).copied().unwrap_or(now);
+            now.since(heard_at) > FORGET_AFTER_MS
+        };
+        let lost: Vec<_> = self
+            .state
+            .upstreams
+            .values()
+            .filter(|u| is_lost(&u.incarnation.id))
+            .map(|u| u.incarnation.clone())
+            .collect();
+        if !lost.is_empty() {
+            commands.push(Command::Forget(lost));
+        }
+        for command in commands {
+            let payload = Payload::Command(encode(&command));
+            match self.raft.propose(payload, now) {
+                Ok(index) => lead.lend_pending = index,
+                Err(_) => break,
+            }
+        }
+    }
+
+    fn manage_members(&mut self, now: Mono) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(next) = lead.roster.next(&self.raft, now) else {
+            return;
+        };
+        // Refused while an earlier change isn't committed; the next step proposes it again.
+        let _ = self.raft.propose(Payload::Membership(next), now);
+    }
+
+    fn answer(&mut self, now: Mono) {
+        let confirmed = self.raft.confirmed_round().unwrap_or(0);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.followers
+            .retain(|_, at| now.since(*at) < FOLLOWER_GONE_MS);
+        let is_sure = now < lead.lease_until;
+        for w in std::mem::take(&mut lead.waiting) {
+            let due = match &w.ask {
+                Ask::Follow { have, .. } => {
+                    is_sure && (*have != self.state.versions || now >= w.answer_at)
+                }
+                _ => w.round <= confirmed,
+            };
+            if !due {
+                lead.waiting.push_back(w);
+                continue;
+            }
+            let reply = match &w.ask {
+                Ask::Follow { have, .. } => {
+                    let entry_hosts = lead.followers.len() as u32;
+                    Reply::Update(Box::new(update(
+                        &self.state,
+                        *have,
+                        &self.raft,
+                        entry_hosts,
+                    )))
+                }
+                _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
+            };
+            self.output.replies.push((w.token, reply));
+        }
+    }
+
+    fn compact(&mut self) -> Result<(), Report<StorageError>> {
+        if !self.store.wants_snapshot() {
+            return Ok(());
+        }
+        let snapshot = self.raft.compact(encode(&self.state));
+        let rest = self.raft.log().slice(snapshot.index + 1, usize::MAX);
+        self.store.save_snapshot(&snapshot, &rest)?;
+        self.output.events.push(Event::SnapshotTaken {
+            cell: LOG_NAME.to_string(),
+            index: snapshot.index,
+            bytes: snapshot.data.len() as u64,
+        });
+        Ok(())
+    }
+}
+
+fn update(state: &State, have: Versions, raft: &Raft, entry_hosts: u32) -> Update {
+    let versions = state.versions;
+    let config = state.config.as_ref().map(|c| &c.config);
+    let owners = || {
+        let by_service = state.owners.iter();
+        by_service
+            .map(|(service, table)| (service.clone(), table.ranges.values().cloned().collect()))
+            .collect()
+    };
+    Update {
+        versions,
+        config: config.filter(|_| have.config != versions.config).cloned(),
+        upstreams: (have.upstreams != versions.upstreams)
+            .then(|| state.upstreams.values().cloned().collect()),
+        owners: (have.owners != versions.owners).then(owners),
+        replicas: raft.membership().replicas().map(|r| r.1.clone()).collect(),
+        entry_hosts,
+    }
+}
+
+fn encode<V: Serialize>(value: &V) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("state always encodes")
+}
+
+fn decode_state(log: &Log) -> State {
+    let data = &log.snapshot().data;
+    if data.is_empty() {
+        return State::default();
+    }
+    postcard::from_bytes(data).expect("a checked snapshot decodes")
+}
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -60,7 +60,7 @@
 impl Hold {
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.member.pool.put(connection, self.clock.now());
+            self.member.pool.put(connection, None, self.clock.now());
         }
     }
 }
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -17,6 +17,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// An idle connection is kept at most this long, in milliseconds.
 const IDLE_MAX_MS: u64 = 30_000;
+/// An idle connection is given up this long before the upstream closes it, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 500;
 
 /// No connection could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +33,7 @@
     pub proven_at: Mono,
     /// Whether it was used before.
     pub reused: bool,
+    idle_max_ms: u64,
     _counted: Counted,
 }
 
@@ -56,6 +59,8 @@
 pub enum Proof {
     /// Any open one.
     Open,
+    /// One that answered within so many milliseconds; the one that was idle longest goes first.
+    Within(u64),
     /// Only a new one: an open one may have gone silent.
     New,
 }
@@ -96,13 +101,17 @@
         self.connect(now).await
     }
 
-    /// Takes a connection back whose answer was read to its end.
-    pub fn put(&self, mut connection: Connection, now: Mono) {
+    /// Takes a connection back whose answer was read to its end. `idle_ms` is how long the upstream
+    /// said that it keeps the connection.
+    pub fn put(&self, mut connection: Connection, idle_ms: Option<u64>, now: Mono) {
         if connection.sender.is_closed() {
             return;
         }
         connection.proven_at = now;
         connection.reused = true;
+        if let Some(ms) = idle_ms {
+            connection.idle_max_ms = ms.saturating_sub(IDLE_MARGIN_MS);
+        }
         self.lock().push(connection);
     }
 
@@ -121,10 +130,14 @@
 
     fn pop(&self, proof: Proof, now: Mono) -> Option<Connection> {
         let mut idle = self.lock();
-        idle.retain(|c| now.since(c.proven_at) < IDLE_MAX_MS);
+        idle.retain(|c| now.since(c.proven_at) < c.idle_max_ms);
         match proof {
             Proof::New => None,
             Proof::Open => idle.pop(),
+            Proof::Within(ms) => {
+                let first = idle.iter().position(|c| now.since(c.proven_at) < ms)?;
+                Some(idle.remove(first))
+            }
         }
     }
 
@@ -142,6 +155,7 @@
             sender,
             proven_at: now,
             reused: false,
+            idle_max_ms: IDLE_MAX_MS,
             _counted: Counted::new(&self.open),
         })
     }
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -349,7 +349,7 @@
         let member = sending.member.clone();
         let sent_at = self.clock.now();
         if sending.ownership.is_some() && self.lease.left_ms(sent_at) == 0 {
-            member.pool.put(connection, sent_at);
+            member.pool.put(connection, None, sent_at);
             return Tried::NotSent(NotRun::later(Reason::NoLease, CONTROL_RETRY_MS));
         }
         let request = upstream_request(req, &sending, sent_at);
--- a/src/event.rs
+++ b/src/event.rs
@@ -103,6 +103,22 @@
     170 Warning PeerRefused "A process without a certificate of the deployment was turned away." { address: String, reason: String }
     171 Warning PeerUnreachable "A process can't be reached." { host: String, reason: String }
     172 Warning MessageRefused "A message of another process could not be read." { reason: String }
+    200 Info RoutesDecided "A route configuration is decided." { version: u64, routes: u64 }
+    201 Warning RoutesRefused "A route configuration was refused; nothing changed." { reason: String }
+    202 Info RoutesInForce "An entry host uses a route configuration." { version: u64, routes: u64 }
+    203 Info UpstreamRegistered "What an upstream says of itself changed." { upstream: String, born_ms: u64, service: String, phase: String }
+    204 Info UpstreamDeregistered "An upstream said that it leaves." { upstream: String }
+    205 Info KeysAssigned "Keys got an owner." { service: String, from: u16, to: u16, owner: String, fence: u64 }
+    206 Warning CallFailed "A call to an upstream about its keys wasn't answered." { number: u64, address: String, order: String, from: u16, to: u16, fence: u64, result: String }
+    207 Info DirectoryFollowed "An entry host has a leader of the directory to follow." { leader: String }
+    208 Warning DirectoryLost "An entry host has no leader of the directory and goes on with what it knows." { age_ms: u64 }
+    209 Warning StorageFailed "The data folder failed; the replica starts again from what it stored." { reason: String }
+    210 Warning FolderReplaced "A damaged data folder was set aside; the replica joins under a new identity." { reason: String }
+    220 Warning RequestFailed "A request ended without an upstream's whole answer." { request: String, route: String, service: String, status: u16, reason: String, upstreams: String, waited_ms: u64, config: u64, age_ms: u64 }
+    221 Warning AttemptFailed "A request couldn't be answered by one upstream." { request: String, upstream: String, reason: String, sent: bool, waited_ms: u64 }
+    222 Warning RequestsUnlogged "Lines about requests were left out to bound the log." { count: u64 }
+    223 Info SettingsChanged "The settings file changed and was read again." { seeds: String }
+    224 Warning SettingsRefused "The settings file changed and can't be used; the former settings stay." { reason: String }
 }
 
 /// An event with its time and host.
--- /dev/null
+++ b/src/gateway/balance.rs
@@ -0,0 +1,154 @@
+//! Chooses an upstream for a request that any upstream of the service may run.
+//!
+//! Answers upstreams of unequal speed whose reports lag: what this host has under way there counts
+//! first, then what the upstream last reported of others, which loses weight with its age.
+
+use crate::clock::Mono;
+
+/// A report of load loses half of its weight in this time, in milliseconds.
+const REPORT_HALF_LIFE_MS: f64 = 300.0;
+/// The weight of a new sample in the running mean of answer times.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// A first guess at how long an upstream works on a request, in milliseconds.
+const WORK_GUESS_MS: f64 = 100.0;
+/// An upstream that failed is passed over for this long at first, in milliseconds.
+const EJECT_FIRST_MS: u64 = 500;
+/// The longest time for which an upstream is passed over, in milliseconds.
+const EJECT_MAX_MS: u64 = 4_000;
+/// Failures in a row after which an upstream is passed over.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// What is known of one upstream's load.
+#[derive(Clone, Debug)]
+pub struct LoadView {
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Requests of this host that are under way there.
+    pub own: u32,
+    /// Requests of others, as last reported.
+    others: f64,
+    reported_at: Mono,
+    work_ms: f64,
+    failures: u32,
+    ejected_until: Mono,
+    ejections: u32,
+}
+
+impl LoadView {
+    /// Returns the view of an upstream that was just heard of.
+    pub fn new(slots: u32) -> LoadView {
+        LoadView {
+            slots: slots.max(1),
+            own: 0,
+            others: 0.0,
+            reported_at: Mono(0),
+            work_ms: WORK_GUESS_MS,
+            failures: 0,
+            ejected_until: Mono(0),
+            ejections: 0,
+        }
+    }
+
+    /// Takes a report: `total` requests run or wait, this host's own included.
+    pub fn report(&mut self, total: u32, slots: u32, now: Mono) {
+        self.slots = slots.max(1);
+        self.others = f64::from(total.saturating_sub(self.own));
+        self.reported_at = now;
+    }
+
+    /// Notes a whole answer and how long it took.
+    pub fn succeed(&mut self, took_ms: f64, now: Mono) {
+        let queue = (self.total(now) / f64::from(self.slots)).max(1.0);
+        let work_ms = took_ms / queue;
+        self.work_ms += (work_ms - self.work_ms) * SAMPLE_WEIGHT;
+        self.failures = 0;
+        self.ejections = 0;
+    }
+
+    /// Notes a failure; returns whether the upstream is passed over from now on.
+    pub fn fail(&mut self, now: Mono) -> bool {
+        self.failures += 1;
+        if self.failures < FAILURES_TO_EJECT {
+            return false;
+        }
+        let pause_ms = (EJECT_FIRST_MS << self.ejections.min(8)).min(EJECT_MAX_MS);
+        self.ejected_until = now.plus(pause_ms);
+        self.ejections += 1;
+        self.failures = FAILURES_TO_EJECT - 1;
+        true
+    }
+
+    /// Notes that no connection could be opened; the upstream is passed over from now on.
+    pub fn fail_to_connect(&mut self, now: Mono) {
+        self.failures = FAILURES_TO_EJECT;
+        self.fail(now);
+    }
+
+    /// Tells whether the upstream is passed over.
+    pub fn is_ejected(&self, now: Mono) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Estimates how many requests the upstream has.
+    pub fn total(&self, now: Mono) -> f64 {
+        let age_ms = now.since(self.reported_at) as f64;
+        let others = self.others * 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
+        f64::from(self.own) + others
+    }
+
+    /// Estimates when a request sent now would be answered, in milliseconds, without the way there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::clock::Mono;
+    /// use carobreel::gateway::balance::LoadView;
+    ///
+    /// let mut idle = LoadView::new(2);
+    /// let mut full = idle.clone();
+    /// idle.report(1, 2, Mono(0));
+    /// full.report(4, 2, Mono(0));
+    /// assert!(idle.answer_ms(Mono(0)) < full.answer_ms(Mono(0)));
+    /// ```
+    pub fn answer_ms(&self, now: Mono) -> f64 {
+        let slots = f64::from(self.slots);
+        let ahead = (self.total(now) + 1.0 - slots).max(0.0);
+        // A nearly full upstream is worse than an empty one even while no one waits.
+        let crowd = 0.1 * (self.total(now) / slots).min(1.0);
+        self.work_ms * (1.0 + crowd + ahead / slots)
+    }
+}
+
+/// A choice with its estimate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The position in the list.
+    pub position: usize,
+    /// When it would answer, in milliseconds.
+    pub answer_ms: f64,
+}
+
+/// Returns the upstream that would answer first. `way_ms` is the time to it and back; ties and near
+/// ties are broken by `draw`, so that entry hosts with the same reports spread out.
+pub fn choose<'a>(
+    views: impl Iterator<Item = (usize, &'a LoadView, f64)>,
+    now: Mono,
+    mut draw: impl FnMut() -> f64,
+) -> Option<Choice> {
+    let mut best: Option<(f64, Choice)> = None;
+    for (position, view, way_ms) in views {
+        if view.is_ejected(now) {
+            continue;
+        }
+        let answer_ms = view.answer_ms(now) + way_ms;
+        let cost = answer_ms * (1.0 + 0.1 * draw());
+        if best.as_ref().is_none_or(|(other, _)| cost < *other) {
+            let choice = Choice {
+                position,
+                answer_ms,
+            };
+            best = Some((cost, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,195 @@
+//! Keeps a gateway's view of the directory fresh.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::directory::ask::{Ask, KeyCounts, Reply, Update};
+use crate::directory::model::Key;
+use crate::event::{Event, Recorder};
+use crate::transport::Endpoint;
+use crate::wire::{Request, Response};
+
+use super::peer::Peers;
+use super::view::View;
+
+/// The leader's answer is awaited this long: the longest that it holds a request, and the way.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The pause after a round in which no leader was found.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Without a leader for this long, the loss is logged, in milliseconds.
+const LOST_AFTER_MS: u64 = 1_500;
+
+/// Requests by service and key that weren't reported yet.
+#[derive(Debug, Default)]
+pub struct KeyCounter {
+    counts: Mutex<BTreeMap<String, BTreeMap<Key, u32>>>,
+}
+
+impl KeyCounter {
+    /// Counts a request.
+    pub fn note(&self, service: &str, key: Key) {
+        let mut counts = self.lock();
+        if !counts.contains_key(service) {
+            counts.insert(service.to_string(), BTreeMap::new());
+        }
+        if let Some(keys) = counts.get_mut(service) {
+            *keys.entry(key).or_default() += 1;
+        }
+    }
+
+    fn take(&self) -> Vec<KeyCounts> {
+        let counts = std::mem::take(&mut *self.lock());
+        let report = |(service, keys): (String, BTreeMap<Key, u32>)| KeyCounts {
+            service,
+            counts: keys.into_iter().collect(),
+        };
+        counts.into_iter().map(report).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, BTreeMap<Key, u32>>> {
+        match self.counts.lock() {
+            Ok(counts) => counts,
+            Err(poisoned) => poisoned.into_inner(),
+        }
+    }
+}
+
+/// Follows the directory's leader.
+#[derive(Debug)]
+pub struct Follower {
+    /// This host's name.
+    pub host: String,
+    /// Where the directory may be found at first.
+    pub seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Connections to other processes.
+    pub endpoint: Endpoint,
+    /// Where views are published.
+    pub view: watch::Sender<Arc<View>>,
+    /// Load to report.
+    pub counter: Arc<KeyCounter>,
+    /// Upstreams in use.
+    pub peers: Arc<Peers>,
+    /// Time.
+    pub clock: Clock,
+    /// Events.
+    pub recorder: Recorder,
+}
+
+impl Follower {
+    /// Follows for as long as the process runs.
+    pub async fn run(self) {
+        let mut leader: Option<String> = None;
+        let mut lost_logged = false;
+        loop {
+            let found = match &leader {
+                Some(host) => self.ask(host).await,
+                None => self.search().await,
+            };
+            match found {
+                Found::Update(host, update) => {
+                    if leader.as_ref() != Some(&host) {
+                        self.recorder.record(Event::DirectoryFollowed {
+                            leader: host.clone(),
+                        });
+                    }
+                    leader = Some(host);
+                    lost_logged = false;
+                    self.publish(*update);
+                }
+                Found::Elsewhere(host) if leader.as_ref() != Some(&host) => leader = Some(host),
+                Found::Elsewhere(_) | Found::Nothing => {
+                    leader = None;
+                    let age_ms = self.clock.now().since(self.view.borrow().confirmed_at);
+                    if age_ms > LOST_AFTER_MS && !lost_logged {
+                        lost_logged = true;
+                        self.recorder.record(Event::DirectoryLost { age_ms });
+                    }
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Asks every process that may know the leader.
+    async fn search(&self) -> Found {
+        let mut hosts = self.view.borrow().replicas.clone();
+        let seeds = match self.seeds.lock() {
+            Ok(seeds) => seeds.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        };
+        for seed in seeds {
+            let seed = seed.to_string();
+            if !hosts.contains(&seed) {
+                hosts.push(seed);
+            }
+        }
+        let mut asked = tokio::task::JoinSet::new();
+        let ask = self.follow();
+        for host in hosts {
+            let endpoint = self.endpoint.clone();
+            let ask = ask.clone();
+            asked.spawn(async move { exchange(&endpoint, host, ask).await });
+        }
+        let mut hint = Found::Nothing;
+        while let Some(found) = asked.join_next().await {
+            match found {
+                Ok(Found::Update(host, update)) => return Found::Update(host, update),
+                Ok(Found::Elsewhere(host)) => hint = Found::Elsewhere(host),
+                Ok(Found::Nothing) | Err(_) => {}
+            }
+        }
+        hint
+    }
+
+    async fn ask(&self, host: &str) -> Found {
+        let mut ask = self.follow();
+        if let Ask::Follow { counts, .. } = &mut ask {
+            *counts = self.counter.take();
+        }
+        exchange(&self.endpoint, host.to_string(), ask).await
+    }
+
+    fn follow(&self) -> Ask {
+        Ask::Follow {
+            host: self.host.clone(),
+            have: self.view.borrow().versions,
+            counts: Vec::new(),
+        }
+    }
+
+    fn publish(&self, update: Update) {
+        let now = self.clock.now();
+        let before = self.view.borrow().clone();
+        let next = Arc::new(before.updated(update, now));
+        if next.versions.config != before.versions.config {
+            self.recorder.record(Event::RoutesInForce {
+                version: next.versions.config,
+                routes: next.config.routes.len() as u64,
+            });
+        }
+        if next.versions.upstreams != before.versions.upstreams {
+            self.peers.retain(&next);
+        }
+        self.view.send_replace(next);
+    }
+}
+
+enum Found {
+    Update(String, Box<Update>),
+    Elsewhere(String),
+    Nothing,
+}
+
+async fn exchange(endpoint: &Endpoint, host: String, ask: Ask) -> Found {
+    let request = Request::Directory(ask);
+    match endpoint.call(&host, request, ANSWER_TIMEOUT).await {
+        Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update),
+        Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => Found::Elsewhere(leader),
+        Ok(_) | Err(_) => Found::Nothing,
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,12 @@
+//! The gateway: what an entry host does with callers' requests where upstreams check their grants
+//! themselves. It follows the directory, chooses upstreams, and passes requests on.
+
+pub mod attempt;
+pub mod balance;
+pub mod daemon;
+pub mod follow;
+pub mod peer;
+pub mod protocol;
+pub mod proxy;
+pub mod retry;
+pub mod view;
--- a/src/http.rs
+++ b/src/http.rs
@@ -121,6 +121,7 @@
 pub struct Client {
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
+    resets: bool,
 }
 
 impl Client {
@@ -129,9 +130,28 @@
         Client {
             address,
             sender: None,
+            resets: false,
         }
     }
 
+    /// Returns a client that resets a connection that it gives up, so that nothing of it that is
+    /// still on its way arrives later.
+    pub fn resetting(address: SocketAddr) -> Client {
+        Client {
+            resets: true,
+            ..Client::new(address)
+        }
+    }
+
+    /// Opens a connection, unless one is open.
+    pub async fn open(&mut self) -> Result<(), Report<HttpError>> {
+        if self.sender.as_ref().is_some_and(SendRequest::is_ready) {
+            return Ok(());
+        }
+        self.sender = Some(connect(self.address, self.resets).await?);
+        Ok(())
+    }
+
     /// Sends a request and reads the whole answer; a failure closes the connection.
     pub async fn send(&mut self, call: Call) -> Result<Answer, Report<HttpError>> {
         let timeout = call.timeout;
@@ -147,10 +167,9 @@
     }
 
     async fn exchange(&mut self, call: Call) -> Result<Answer, Report<HttpError>> {
-        let open = self.sender.take().filter(|s| s.is_ready());
-        let mut sender = match open {
-            Some(sender) => sender,
-            None => connect(self.address).await?,
+        self.open().await?;
+        let Some(mut sender) = self.sender.take() else {
+            return Err(Report::new(HttpError::Connect));
         };
         let mut request = Request::builder()
             .method(call.method)
@@ -174,10 +193,18 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Report<HttpError>> {
+async fn connect(
+    address: SocketAddr,
+    resets: bool,
+) -> Result<SendRequest<Full<Bytes>>, Report<HttpError>> {
     let stream = TcpStream::connect(address)
         .await
         .change_context(HttpError::Connect)?;
+    if resets {
+        stream
+            .set_zero_linger()
+            .change_context(HttpError::Connect)?;
+    }
     let _ = stream.set_nodelay(true);
     let (sender, driver) = http1::handshake(TokioIo::new(stream))
         .await
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -9,10 +9,11 @@
 
 use error_stack::{Report, ResultExt};
 use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose};
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
-use rustls::RootCertStore;
+use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
 
 /// The application protocol that processes agree on in TLS.
 const PROTOCOL: &[u8] = b"carobreel/1";
@@ -160,6 +161,77 @@
     })
 }
 
+/// Returns TLS with a certificate of its own and no check of the peer's, for deployments that hand
+/// over no key material. Connections are encrypted; whoever reaches the port can take part.
+pub fn unverified() -> Result<Tls, Report<KeysError>> {
+    let key = KeyPair::generate().change_context(KeysError::Make)?;
+    let params = CertificateParams::new(Vec::new()).change_context(KeysError::Make)?;
+    let certificate = params.self_signed(&key).change_context(KeysError::Make)?;
+    let chain = vec![certificate.der().clone()];
+    let key =
+        PrivateKeyDer::try_from(key.serialize_der()).map_err(|_| Report::new(KeysError::Make))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context(KeysError::Use)?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .change_context(KeysError::Use)?;
+    server.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let mut client = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context(KeysError::Use)?
+        .dangerous()
+        .with_custom_certificate_verifier(Arc::new(AnyCertificate(provider)))
+        .with_no_client_auth();
+    client.alpn_protocols = vec![PROTOCOL.to_vec()];
+    Ok(Tls {
+        server: Arc::new(server),
+        client: Arc::new(client),
+    })
+}
+
+/// Accepts every certificate; signatures of the handshake are checked all the same.
+#[derive(Debug)]
+struct AnyCertificate(Arc<rustls::crypto::CryptoProvider>);
+
+impl ServerCertVerifier for AnyCertificate {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, cert, dss, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, cert, dss, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
+
 fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Report<KeysError>> {
     let at = || KeysError::File(path.to_path_buf());
     let list = CertificateDer::pem_file_iter(path).change_context_lazy(at)?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,9 @@
   apply     Bring a configuration document into force
   check     Check a settings file or a configuration document
   demo      Run a whole deployment in this process, with load and a loss
+  directory Run a replica of the directory on a host with a disk
   explain   Tell who owns a key or what an upstream holds, and why
+  gateway   Serve callers on an entry host, following the directory
   keys      Make a deployment's certificates and the operators' token
   load      Offer load to entry hosts and measure what comes back
   plan      Tell what a configuration document would change
@@ -53,7 +55,9 @@
         "apply" => cmd::apply::run(argv),
         "check" => cmd::check::run(argv),
         "demo" => cmd::demo::run(argv),
+        "directory" => cmd::directory::run(argv),
         "explain" => cmd::explain::run(argv),
+        "gateway" => cmd::gateway::run(argv),
         "keys" => cmd::keys::run(argv),
         "load" => cmd::load::run(argv),
         "plan" => cmd::plan::run(argv),
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,225 @@
+//! The operators' document, checked and turned into a route configuration.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Deserialize;
+
+use crate::directory::model::{CallerLimits, Repeat, Route, RouteConfig, Service, Target};
+use crate::duration::parse_ms;
+
+/// The longest time limit that a route may have, in milliseconds; stated by the platform.
+const TIMEOUT_MAX_MS: u64 = 600_000;
+/// Weights are kept in thousandths.
+const WEIGHT_SCALE: f64 = 1_000.0;
+/// Upstreams that one request may be sent to, where a route names no number.
+const ATTEMPTS_DEFAULT: u32 = 1;
+
+#[derive(Debug, Deserialize)]
+struct Document {
+    version: String,
+    routes: Vec<DocumentRoute>,
+    services: Vec<DocumentService>,
+    #[serde(default)]
+    limits: Option<DocumentLimits>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct DocumentRoute {
+    name: String,
+    hostname: String,
+    path_prefix: String,
+    kind: String,
+    #[serde(default)]
+    timeout: Option<String>,
+    #[serde(default)]
+    target_latency: Option<String>,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<DocumentTarget>,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct DocumentTarget {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct DocumentService {
+    name: String,
+    #[serde(default)]
+    health_path: String,
+    #[serde(default)]
+    max_connections: u32,
+    /// Whether the service is divided by key.
+    #[serde(default)]
+    sharded: bool,
+    #[serde(default)]
+    warmup: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct DocumentLimits {
+    #[serde(default)]
+    max_header_bytes: Option<u64>,
+    #[serde(default)]
+    max_body_bytes: Option<u64>,
+    #[serde(default)]
+    header_timeout: Option<String>,
+    #[serde(default)]
+    idle_timeout: Option<String>,
+}
+
+/// Reads a document.
+///
+/// # Errors
+///
+/// The first fault, in words that name where it is.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::platform::config::read;
+///
+/// let text = br#"{"version":"r7","services":[{"name":"maps"}],"routes":[{"name":"a",
+///     "hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","service":"maps"}]}"#;
+/// assert_eq!(read(text).unwrap().version, 7);
+/// let text = br#"{"version":"r8","services":[],"routes":[{"name":"a",
+///     "hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","service":"maps"}]}"#;
+/// assert_eq!(read(text).unwrap_err(), "route a: there is no service maps");
+/// ```
+pub fn read(text: &[u8]) -> Result<RouteConfig, String> {
+    let document: Document =
+        serde_json::from_slice(text).map_err(|e| format!("the document can't be read: {e}"))?;
+    let number = document.version.strip_prefix('r');
+    let version = number.and_then(|n| n.parse().ok()).filter(|n| *n > 0);
+    let Some(version) = version else {
+        return Err(format!(
+            "version {:?} is not r and a number",
+            document.version
+        ));
+    };
+    let mut services = BTreeMap::new();
+    for service in document.services {
+        let (name, service) = read_service(service)?;
+        if name.is_empty() || services.insert(name.clone(), service).is_some() {
+            return Err(format!("service {name:?}: is named twice or not at all"));
+        }
+    }
+    let mut places = BTreeSet::new();
+    let mut routes = Vec::new();
+    for route in document.routes {
+        let route = read_route(route, &services)?;
+        if !places.insert((route.host.clone(), route.prefix.clone())) {
+            let (host, prefix) = (&route.host, &route.prefix);
+            return Err(format!("route {}: another has {host}{prefix}", route.name));
+        }
+        routes.push(route);
+    }
+    Ok(RouteConfig {
+        version,
+        routes,
+        services,
+        limits: read_limits(document.limits)?,
+    })
+}
+
+fn read_service(service: DocumentService) -> Result<(String, Service), String> {
+    let at = format!("service {}", service.name);
+    let warmup_ms = time(&at, "warmup", service.warmup.as_deref())?.unwrap_or(0);
+    let read = Service {
+        health_path: service.health_path,
+        connections_max: service.max_connections,
+        keyed: service.sharded,
+        warmup_ms,
+    };
+    Ok((service.name, read))
+}
+
+fn read_route(route: DocumentRoute, services: &BTreeMap<String, Service>) -> Result<Route, String> {
+    let at = format!("route {}", route.name);
+    if route.hostname.is_empty() {
+        return Err(format!("{at}: hostname is empty"));
+    }
+    if !route.path_prefix.starts_with('/') {
+        return Err(format!("{at}: the prefix doesn't begin with a slash"));
+    }
+    let timeout_ms = time(&at, "timeout", route.timeout.as_deref())?.unwrap_or(0);
+    if timeout_ms > TIMEOUT_MAX_MS {
+        return Err(format!("{at}: timeout is over ten minutes"));
+    }
+    let mut targets = Vec::new();
+    for target in route.traffic_split {
+        if target.weight < 0.0 || !target.weight.is_finite() {
+            return Err(format!("{at}: weight {} is below 0", target.weight));
+        }
+        targets.push(Target {
+            service: target.service,
+            weight: (target.weight * WEIGHT_SCALE).round() as u32,
+        });
+    }
+    if let Some(service) = route.service {
+        targets.push(Target { service, weight: 1 });
+    }
+    if targets.is_empty() {
+        return Err(format!("{at}: names no service"));
+    }
+    if let Some(unknown) = targets.iter().find(|t| !services.contains_key(&t.service)) {
+        return Err(format!("{at}: there is no service {}", unknown.service));
+    }
+    let repeat = match route.kind.as_str() {
+        "idempotent" | "download" => Repeat::Idempotent,
+        // What isn't known to be repeatable isn't repeated.
+        _ => Repeat::Once,
+    };
+    let objective_ms = time(&at, "targetLatency", route.target_latency.as_deref())?;
+    Ok(Route {
+        name: route.name,
+        host: route.hostname.to_ascii_lowercase(),
+        prefix: route.path_prefix,
+        repeat,
+        timeout_ms,
+        objective_ms: objective_ms.unwrap_or(timeout_ms),
+        priority: route.priority,
+        targets,
+        attempts_max: route.max_attempts.unwrap_or(ATTEMPTS_DEFAULT).max(1),
+    })
+}
+
+fn read_limits(limits: Option<DocumentLimits>) -> Result<CallerLimits, String> {
+    let mut read = CallerLimits::default();
+    let Some(limits) = limits else {
+        return Ok(read);
+    };
+    if let Some(bytes) = limits.max_header_bytes {
+        read.header_bytes_max = bytes;
+    }
+    if let Some(bytes) = limits.max_body_bytes {
+        read.body_bytes_max = bytes;
+    }
+    if let Some(ms) = time("limits", "headerTimeout", limits.header_timeout.as_deref())? {
+        read.header_timeout_ms = ms;
+    }
+    if let Some(ms) = time("limits", "idleTimeout", limits.idle_timeout.as_deref())? {
+        read.idle_timeout_ms = ms;
+    }
+    Ok(read)
+}
+
+fn time(at: &str, field: &str, text: Option<&str>) -> Result<Option<u64>, String> {
+    let Some(text) = text else {
+        return Ok(None);
+    };
+    match parse_ms(text) {
+        Some(ms) => Ok(Some(ms)),
+        None => Err(format!("{at}: {field} {text:?} is not a time")),
+    }
+}
--- /dev/null
+++ b/src/platform/keys.rs
@@ -0,0 +1,99 @@
+//! Calls to upstreams about the keys that they hold.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde_json::json;
+
+use crate::clock::{Clock, Mono};
+use crate::directory::daemon::KeyCalls;
+use crate::directory::lessor::{Call, CallResult, Order};
+use crate::http::{Answer, Client};
+
+/// Opening a connection takes at most this long: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The header in which an upstream hands over what it knows of released keys.
+const HANDOVER: &str = "carobreel-handover";
+
+/// Calls upstreams on connections that are kept open.
+#[derive(Debug)]
+pub struct KeyClient {
+    clock: Clock,
+    idle: Mutex<BTreeMap<SocketAddr, Vec<Client>>>,
+}
+
+impl KeyClient {
+    /// Returns a client without connections.
+    pub fn new(clock: Clock) -> KeyClient {
+        KeyClient {
+            clock,
+            idle: Mutex::default(),
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Client {
+        let open = self.idle().get_mut(&address).and_then(Vec::pop);
+        open.unwrap_or_else(|| Client::resetting(address))
+    }
+
+    fn idle(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Client>>> {
+        match self.idle.lock() {
+            Ok(idle) => idle,
+            Err(poisoned) => poisoned.into_inner(),
+        }
+    }
+}
+
+impl KeyCalls for KeyClient {
+    async fn call(&self, call: Call, until: Mono) -> CallResult {
+        let mut client = self.take(call.address);
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, client.open()).await;
+        if !matches!(opened, Ok(Ok(()))) || self.clock.now() >= until {
+            return CallResult::NotSent;
+        }
+        let request = request(&call).timeout(Duration::from_millis(call.timeout_ms));
+        match client.send(request).await {
+            Ok(answer) => {
+                self.idle().entry(call.address).or_default().push(client);
+                result(&answer)
+            }
+            // The failure is logged with the result, where its consequences are decided.
+            Err(_) => CallResult::Unknown,
+        }
+    }
+}
+
+fn request(call: &Call) -> crate::http::Call {
+    match &call.order {
+        Order::Grant { hold_ms, handover } => {
+            let mut body = json!({
+                "from": call.from,
+                "to": call.to,
+                "fence": call.fence,
+                "hold_time": format!("{hold_ms}ms"),
+            });
+            if let Some(handover) = handover {
+                body["handover"] = json!(handover);
+            }
+            crate::http::Call::post("/v1/grant", body.to_string())
+        }
+        Order::Release => {
+            let body = json!({ "from": call.from, "to": call.to, "fence": call.fence });
+            crate::http::Call::post("/v1/release", body.to_string())
+        }
+    }
+}
+
+fn result(answer: &Answer) -> CallResult {
+    match answer.status {
+        StatusCode::OK => {
+            let handover = answer.header(HANDOVER);
+            CallResult::Done((!handover.is_empty()).then(|| handover.to_string()))
+        }
+        StatusCode::CONFLICT => CallResult::Fenced,
+        _ => CallResult::Unknown,
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,8 @@
+//! The platform's messages, translated into the product's types and back. Nothing outside this
+//! folder knows how they are spelled.
+
+pub mod api;
+pub mod config;
+pub mod headers;
+pub mod keys;
+pub mod registration;
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -102,6 +102,7 @@
     role: Role,
     leader: Option<ReplicaId>,
     leader_heard_at: Option<Mono>,
+    votes_withheld_until: Mono,
     election_at: Mono,
     heartbeat_at: Mono,
     changed_from: Option<u64>,
@@ -135,6 +136,7 @@
             role: Role::Follower,
             leader: None,
             leader_heard_at: None,
+            votes_withheld_until: Mono(0),
             election_at: now,
             heartbeat_at: now,
             changed_from: None,
@@ -145,6 +147,20 @@
         raft
     }
 
+    /// Gives no vote before `until`: before a restart this replica may have answered a leader that
+    /// counts on it.
+    pub fn withhold_votes(&mut self, until: Mono) {
+        self.votes_withheld_until = until;
+    }
+
+    /// Returns for how long `replica` hasn't answered the leader, in milliseconds.
+    pub fn silent_ms(&self, replica: ReplicaId, now: Mono) -> Option<u64> {
+        let Role::Leader(lead) = &self.role else {
+            return None;
+        };
+        Some(now.since(lead.progress.get(&replica)?.heard_at))
+    }
+
     /// Returns this replica's identity.
     pub fn id(&self) -> ReplicaId {
         self.id
@@ -360,7 +376,7 @@
     }
 
     fn hears_leader(&self, now: Mono) -> bool {
-        if matches!(self.role, Role::Leader(_)) {
+        if matches!(self.role, Role::Leader(_)) || now < self.votes_withheld_until {
             return true;
         }
         let Some(heard_at) = self.leader_heard_at else {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -9,7 +9,9 @@
 
 use error_stack::{Report, ResultExt};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{Connection, IdleTimeout, RecvStream, SendStream, TransportConfig, VarInt};
+use quinn::{
+    Connection, EndpointConfig, IdleTimeout, RecvStream, SendStream, TransportConfig, VarInt,
+};
 
 use crate::event::{Event, Recorder};
 use crate::keys::Tls;
@@ -97,7 +99,11 @@
             QuicClientConfig::try_from(tls.client.clone()).change_context(TransportError::Tls)?;
         let mut client = quinn::ClientConfig::new(Arc::new(crypto));
         client.transport_config(transport);
-        let mut quic = quinn::Endpoint::server(server, address)
+        let socket =
+            std::net::UdpSocket::bind(address).change_context(TransportError::Bind(address))?;
+        let runtime = quinn::default_runtime().ok_or(TransportError::Bind(address))?;
+        let config = endpoint_config(address)?;
+        let mut quic = quinn::Endpoint::new(config, Some(server), socket, runtime)
             .change_context(TransportError::Bind(address))?;
         quic.set_default_client_config(client);
         let inner = Inner {
@@ -131,10 +137,18 @@
         let answer = tokio::time::timeout(timeout, exchange).await;
         match answer {
             Ok(result) => result,
-            Err(_) => Err(Report::new(TransportError::Timeout)),
+            Err(_) => {
+                self.forget(host);
+                Err(Report::new(TransportError::Timeout))
+            }
         }
     }
 
+    /// Gives up the open connection to a host, which may have gone silent.
+    fn forget(&self, host: &str) {
+        self.connections().remove(host);
+    }
+
     /// Sends a request that isn't answered.
     pub async fn send(&self, host: &str, request: Request) -> Result<(), Report<TransportError>> {
         let connection = self.connection(host).await?;
@@ -306,13 +320,15 @@
             }
             self.drop_connection(host, &connection);
         }
-        let Some(address) = self.inner.addresses.get(host).copied() else {
+        let known = self.inner.addresses.get(host).copied();
+        let Some(address) = known.or_else(|| host.parse().ok()) else {
             return Err(Report::new(TransportError::UnknownHost));
         };
+        let name = host.rsplit_once(':').map_or(host, |(ip, _)| ip);
         let connecting = self
             .inner
             .quic
-            .connect(address, host)
+            .connect(address, name)
             .change_context(TransportError::Connect)?;
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
@@ -341,6 +357,17 @@
     }
 }
 
+/// Returns a configuration whose stateless resets stay valid over restarts, so that peers of a
+/// process that was started again learn at once that their connections are gone.
+fn endpoint_config(address: SocketAddr) -> Result<EndpointConfig, Report<TransportError>> {
+    let port = address.port();
+    if port == 0 {
+        return Ok(EndpointConfig::default());
+    }
+    let key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, address.to_string().as_bytes());
+    Ok(EndpointConfig::new(Arc::new(key)))
+}
+
 fn transport_config() -> TransportConfig {
     let mut config = TransportConfig::default();
     config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -37,6 +37,8 @@
     Claims(String),
     /// A caller's request for a region that the receiver is in; a body follows the answer.
     Forward(Box<Forward>),
+    /// A request to the leader of the directory.
+    Directory(crate::directory::ask::Ask),
     /// The receiver's events.
     Timeline,
     /// Whether the receiver lives.
@@ -122,6 +124,8 @@
     Claim(ClaimAnswer),
     /// Claims, or `None` while the receiver doesn't hold all of them itself.
     Claims(Option<Vec<(ClaimId, ClaimRecord)>>),
+    /// From the directory.
+    Directory(crate::directory::ask::Reply),
     /// The head of an answer.
     Forward(ForwardHead),
     /// Events.
