Prove the directory under seeded schedules; a new process may hold the old one's grant

Cause, found by the new schedules (seed 0): an upstream that starts again at its address takes a renewal that was on its way to its predecessor. The lessor treated the predecessor's end as the end of all it was granted and gave the keys away at once: two owners.

Change: keys of an ended process are taken back from whoever has its address, or waited out. tests/directory.rs and tests/model: replicas, network, upstreams with slow clocks and late calls in virtual time; a variant with clocks beyond the contract is caught.

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -228,7 +228,7 @@
     /// ran out may have a successor.
     pub fn step(&mut self, state: &State, now: Mono, may_call: bool) -> Step {
         let mut step = Step::default();
-        self.note_ended(state, now);
+        self.follow_table(state);
         if now.since(self.decayed_at) >= PLAN_EVERY_MS {
             let elapsed_ms = now.since(self.decayed_at);
             self.rates.values_mut().for_each(|r| r.decay(elapsed_ms));
@@ -258,7 +258,7 @@
         step
     }
 
-    fn note_ended(&mut self, state: &State, now: Mono) {
+    fn follow_table(&mut self, state: &State) {
         self.moves.retain(|m| {
             let table = state.owners.get(&m.service);
             let range = table.and_then(|t| t.owner_of(m.from));
@@ -273,12 +273,6 @@
                     .or_insert_with(|| inherited(hold_ms, elected_at));
             }
         }
-        for (who, bounds) in &mut self.bounds {
-            if state.has_ended(who) {
-                bounds.confirmed_until = bounds.confirmed_until.min(now);
-                bounds.doubtful_until = bounds.doubtful_until.min(now);
-            }
-        }
     }
 
     fn candidates(&self, service: &str, state: &State, now: Mono) -> BTreeSet<Incarnation> {
@@ -416,16 +410,15 @@
         step: &mut Step,
     ) {
         let bounds = self.bounds.get(&m.donor).copied().unwrap_or_default();
-        if state.has_ended(&m.donor) && m.stage != Stage::Proposed {
-            m.stage = Stage::Waiting(now);
-        }
         if m.stage == Stage::Settling && !self.has_grant_in_flight(m) {
             m.expires_at = bounds.confirmed_until.max(bounds.doubtful_until);
             m.doubtful_until = bounds.doubtful_until;
             m.stage = Stage::Retrying(now);
         }
         if let Stage::Retrying(at) = m.stage {
-            let donor = state.live(&m.donor);
+            // A successor of the donor at its address may have taken a renewal that was meant for it,
+            // so that the end of a process isn't the end of what it was granted.
+            let donor = state.upstreams.get(&m.donor.id);
             if now >= m.expires_at {
                 m.stage = Stage::Waiting(now);
             } else if let (Some(donor), true, true) = (donor, may_call, now >= at) {
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -115,22 +115,6 @@
         (known.incarnation == *who && known.phase != Phase::Gone).then_some(known)
     }
 
-    /// Tells whether a process has certainly ended: its id or its address was taken by a later one.
-    pub fn has_ended(&self, who: &Incarnation) -> bool {
-        let Some(known) = self.upstreams.get(&who.id) else {
-            return false;
-        };
-        if known.incarnation.born_ms > who.born_ms {
-            return true;
-        }
-        let succeeds = |other: &Upstream| {
-            other.address == known.address
-                && other.incarnation.id != who.id
-                && other.incarnation.born_ms > who.born_ms
-        };
-        self.upstreams.values().any(succeeds)
-    }
-
     fn configure(&mut self, stored: StoredConfig) {
         let version = stored.config.version;
         if version <= self.versions.config {
--- /dev/null
+++ b/tests/directory.rs
@@ -0,0 +1,218 @@
+//! The directory under seeded schedules of faults: owners, fences, acknowledgements, membership.
+
+mod model;
+
+use model::{Faults, World};
+use rand::RngExt;
+
+/// Schedules that CI runs; `CAROBREEL_SEEDS` asks for more.
+const SEEDS: u64 = 24;
+/// The platform's bound for a key to be served again after a loss, in milliseconds.
+const SERVED_AGAIN_MS: u64 = 5_000;
+/// After all replicas are back the system must serve within this, in milliseconds.
+const RECOVERY_MS: u64 = 15_000;
+const CALM: Faults = Faults {
+    lost: 0,
+    late_calls: 0,
+    slow_clock_percent: 2,
+};
+const HARSH: Faults = Faults {
+    lost: 20,
+    late_calls: 150,
+    slow_clock_percent: 2,
+};
+
+fn seeds() -> u64 {
+    let asked = std::env::var("CAROBREEL_SEEDS").ok();
+    asked.and_then(|n| n.parse().ok()).unwrap_or(SEEDS)
+}
+
+fn started(seed: u64, faults: Faults) -> World {
+    let mut world = World::new(seed, 8, faults);
+    world.run(2_500);
+    world.configure(0);
+    world.run(4_000);
+    if world.acked_version == 0 {
+        world.configure(1);
+        world.run(4_000);
+    }
+    world
+}
+
+fn all_keys() -> usize {
+    model::upstream::samples().count()
+}
+
+#[test]
+fn a_calm_start_grants_every_key_once() {
+    let mut world = started(1, CALM);
+    assert_eq!(world.leaders, 1);
+    assert!(world.acked_version > 0);
+    assert_eq!(world.voters(), 3);
+    assert_eq!(world.upstreams.held(world.now), all_keys());
+    world.run(5_000);
+    assert_eq!(world.upstreams.held(world.now), all_keys());
+}
+
+#[test]
+fn a_crashed_upstream_s_keys_are_held_again_in_time() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        world.upstreams.crash(3);
+        world.run(SERVED_AGAIN_MS + 1_000);
+        assert_eq!(world.upstreams.held(world.now), all_keys(), "seed {seed}");
+    }
+}
+
+#[test]
+fn an_upstream_that_starts_again_under_its_id_is_granted_keys_again() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        world.upstreams.crash(2);
+        world.run(400);
+        let now = world.now;
+        world.upstreams.restart(2, now);
+        world.run(SERVED_AGAIN_MS);
+        assert_eq!(world.upstreams.held(world.now), all_keys(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_leaving_upstream_hands_its_keys_over() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        world.drain(5);
+        world.run(3_000);
+        assert!(world.acked_drains.contains(&5), "seed {seed}");
+        assert!(world.upstreams.handovers > 0, "seed {seed}");
+        assert_eq!(world.upstreams.held(world.now), all_keys(), "seed {seed}");
+        let state = world.leader_state().unwrap();
+        let owners = state.owners[model::SERVICE].ranges.values();
+        assert!(owners.clone().all(|r| r.owner.id != "u5"), "seed {seed}");
+    }
+}
+
+#[test]
+fn hot_adjacent_keys_are_spread() {
+    let mut world = started(7, CALM);
+    let hot: Vec<(u16, u32)> = (30_000..30_200).map(|key| (key, 1)).collect();
+    for _ in 0..30 {
+        world.report(hot.clone());
+        world.run(100);
+    }
+    let state = world.leader_state().unwrap();
+    let table = &state.owners[model::SERVICE];
+    let mut owners = std::collections::BTreeMap::new();
+    for (key, _) in &hot {
+        let owner = table.owner_of(*key).unwrap().owner.id.clone();
+        *owners.entry(owner).or_insert(0) += 1;
+    }
+    // 200 keys on 8 upstreams: 25 would be even.
+    let most = owners.values().max().unwrap();
+    assert!(*most <= 40, "{owners:?}");
+}
+
+/// Kills, freezes, cuts, lost disks and late calls in series, one replica lost at a time.
+fn schedule(seed: u64, faults: Faults) -> World {
+    let mut world = started(seed, faults);
+    for _ in 0..12 {
+        let n = world.rng.random_range(0..4);
+        let leader = world.leader().unwrap_or(n);
+        let ms = world.rng.random_range(300..4_000);
+        match world.rng.random_range(0..8) {
+            0 => world.kill(leader, ms, false),
+            1 => world.kill(n, ms, true),
+            2 => world.freeze(leader, ms),
+            3 => world.set_cut(leader, true),
+            4 => world.upstreams.crash(n),
+            5 => world.upstreams.list[n + 4].cut = true,
+            6 => world.drain(n),
+            _ => {}
+        }
+        for _ in 0..6 {
+            let at = world.rng.random_range(0..4);
+            match world.rng.random_range(0..3) {
+                0 => world.configure(at),
+                1 => world.read(at),
+                _ => {
+                    let version = world.sent_version;
+                    world.configure_version(at, version.max(1));
+                }
+            }
+            let pause = world.rng.random_range(50..900);
+            world.run(pause);
+        }
+        for cut in 0..4 {
+            world.set_cut(cut, false);
+        }
+        for upstream in 0..8 {
+            world.upstreams.list[upstream].cut = false;
+            let now = world.now;
+            if !world.upstreams.list[upstream].up {
+                world.upstreams.restart(upstream, now);
+            }
+        }
+        // A lost disk counts as lost until its successor has caught up.
+        world.run(6_000);
+    }
+    world
+}
+
+#[test]
+fn no_schedule_gives_a_key_two_owners_or_loses_what_was_acknowledged() {
+    let mut reads = 0;
+    let mut leaders = 0;
+    for seed in 0..seeds() {
+        let faults = if seed % 2 == 0 { CALM } else { HARSH };
+        let mut world = schedule(seed, faults);
+        world.run(RECOVERY_MS);
+        for n in 0..4 {
+            world.read(n);
+        }
+        let before = world.reads;
+        world.run(2_000);
+        assert!(world.reads > before, "seed {seed}: nobody can read");
+        reads += world.reads;
+        leaders += world.leaders;
+    }
+    // The schedules must bite.
+    assert!(
+        reads > 10 * seeds() && leaders > 2 * seeds(),
+        "{reads} {leaders}"
+    );
+}
+
+#[test]
+fn all_replicas_without_power_at_once_lose_nothing() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        world.configure(2);
+        world.run(600);
+        let acked = world.acked_version;
+        for n in 0..4 {
+            let down = world.rng.random_range(500..1_500);
+            // One disk may be lost at the same time.
+            world.kill(n, down, n as u64 == seed % 4);
+        }
+        world.run(RECOVERY_MS);
+        for n in 0..4 {
+            world.read(n);
+        }
+        world.run(1_000);
+        assert!(world.reads > 0 && acked > 0, "seed {seed}");
+        assert_eq!(world.upstreams.held(world.now), all_keys(), "seed {seed}");
+        assert_eq!(world.voters(), 3, "seed {seed}");
+    }
+}
+
+#[test]
+#[should_panic(expected = "is held by")]
+fn clocks_slower_than_the_contract_allows_are_caught() {
+    let faults = Faults {
+        slow_clock_percent: 60,
+        ..HARSH
+    };
+    for seed in 0..seeds() {
+        schedule(seed, faults);
+    }
+}
--- /dev/null
+++ b/tests/model/mod.rs
@@ -0,0 +1,587 @@
+//! A model of the platform for the directory's decision code: replicas with disks, a network with
+//! faults, and upstreams that hold granted keys by clocks of their own. Time is virtual and every
+//! choice comes from the seed.
+
+pub mod upstream;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use carobreel::cell::store::Store;
+use carobreel::clock::Mono;
+use carobreel::directory::ask::{Ask, Reply};
+use carobreel::directory::lessor::{Call, CallResult};
+use carobreel::directory::membership::{founder_id, founding};
+use carobreel::directory::model::{Key, Route, RouteConfig, Service};
+use carobreel::directory::replica::{Output, Replica, Start};
+use carobreel::directory::state::StoredConfig;
+use carobreel::raft::{Entry, HardState, Log, Message, ReplicaId, Snapshot, Timing};
+use carobreel::storage::{Identity, Recovered, StorageError};
+use error_stack::Report;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use upstream::Upstreams;
+
+/// The service that is divided by key.
+pub const SERVICE: &str = "maps";
+/// Between two looks of a replica at its clock, in milliseconds.
+const TICK_MS: u64 = 20;
+/// Between two announcements of an upstream, in milliseconds.
+const ANNOUNCE_MS: u64 = 870;
+/// Between two wishes of a replica to be taken in, in milliseconds.
+const JOIN_MS: u64 = 300;
+pub const HOLD_MS: u64 = 3_000;
+
+/// A disk: everything appended is synced.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    identity: Option<ReplicaId>,
+    hard: HardState,
+    snapshot: Snapshot,
+    entries: Vec<Entry>,
+    appended: usize,
+}
+
+impl Store for Disk {
+    fn append(
+        &mut self,
+        hard: Option<HardState>,
+        entries: &[Entry],
+    ) -> Result<(), Report<StorageError>> {
+        self.hard = hard.unwrap_or(self.hard);
+        if let Some(first) = entries.first() {
+            self.entries.retain(|e| e.index < first.index);
+            self.entries.extend_from_slice(entries);
+            self.appended += entries.len();
+        }
+        Ok(())
+    }
+
+    fn save_snapshot(
+        &mut self,
+        snapshot: &Snapshot,
+        rest: &[Entry],
+    ) -> Result<(), Report<StorageError>> {
+        self.snapshot = snapshot.clone();
+        self.entries = rest.to_vec();
+        self.appended = 0;
+        Ok(())
+    }
+
+    fn wants_snapshot(&self) -> bool {
+        self.appended > 200
+    }
+}
+
+type Member = Replica<Disk, u64>;
+
+struct Node {
+    address: String,
+    region: usize,
+    member: Option<Member>,
+    /// What the disk holds while the process is down.
+    disk: Disk,
+    frozen_until: u64,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick(usize),
+    Deliver(usize, Vec<Message>),
+    Ask(usize, Ask, u64),
+    Reply(u64, Reply),
+    CallArrives(usize, Call, bool),
+    Called(usize, u64, u64, CallResult),
+    Restart(usize),
+    Announce(usize),
+    Join(usize),
+}
+
+struct Queued {
+    at: u64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Queued) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Queued {}
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Queued) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Queued {
+    fn cmp(&self, other: &Queued) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// What a question was about, until its answer comes.
+#[derive(Clone, Debug)]
+enum Question {
+    Configure(u64),
+    /// The version that was acknowledged when the question was put.
+    Read(u64),
+    Drain(usize),
+    Announce(usize, u64),
+    Other,
+}
+
+/// How the platform misbehaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Messages lost, of a thousand.
+    pub lost: u32,
+    /// Calls to upstreams that are answered by nothing and applied late, of a thousand.
+    pub late_calls: u32,
+    /// How much longer than told upstreams hold keys, in percent; the contract allows 2.
+    pub slow_clock_percent: u64,
+}
+
+/// The whole model.
+pub struct World {
+    pub now: u64,
+    pub rng: Pcg64Mcg,
+    pub faults: Faults,
+    pub upstreams: Upstreams,
+    pub acked_version: u64,
+    pub sent_version: u64,
+    pub acked_drains: BTreeSet<usize>,
+    pub leaders: u64,
+    pub reads: u64,
+    nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<Queued>>,
+    order: u64,
+    cut: BTreeSet<(usize, usize)>,
+    questions: BTreeMap<u64, Question>,
+    next_question: u64,
+    lives: Vec<u64>,
+}
+
+impl World {
+    /// Returns a world of four replicas in two regions, three of them founders, and `upstreams`
+    /// upstreams.
+    pub fn new(seed: u64, upstreams: usize, faults: Faults) -> World {
+        let mut world = World {
+            now: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            faults,
+            upstreams: Upstreams::new(upstreams, faults.slow_clock_percent),
+            acked_version: 0,
+            sent_version: 0,
+            acked_drains: BTreeSet::new(),
+            leaders: 0,
+            reads: 0,
+            nodes: Vec::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            cut: BTreeSet::new(),
+            questions: BTreeMap::new(),
+            next_question: 0,
+            lives: vec![0; 4],
+        };
+        for n in 0..4 {
+            world.nodes.push(Node {
+                address: format!("10.0.0.{}:7000", n + 1),
+                region: n % 2,
+                member: None,
+                disk: Disk::default(),
+                frozen_until: 0,
+            });
+            world.start(n, true);
+        }
+        for n in 0..upstreams {
+            let at = world.rng.random_range(0..ANNOUNCE_MS);
+            world.push(at, Event::Announce(n));
+        }
+        world
+    }
+
+    /// Lets `ms` milliseconds pass.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at > end {
+                break;
+            }
+            let Some(Reverse(queued)) = self.queue.pop() else {
+                break;
+            };
+            self.now = queued.at;
+            self.handle(queued.event);
+            self.upstreams.check_owners(self.now);
+        }
+        self.now = end;
+    }
+
+    /// Ends a process; it starts again after `down_ms`, with an empty disk if `wipe`.
+    pub fn kill(&mut self, n: usize, down_ms: u64, wipe: bool) {
+        if let Some(member) = self.nodes[n].member.take() {
+            self.nodes[n].disk = member.store().clone();
+        }
+        if wipe {
+            self.nodes[n].disk = Disk::default();
+        }
+        self.lives[n] += 1;
+        self.push(down_ms, Event::Restart(n));
+    }
+
+    /// Stops a process for a while; what arrives meanwhile waits.
+    pub fn freeze(&mut self, n: usize, ms: u64) {
+        self.nodes[n].frozen_until = self.now + ms;
+    }
+
+    /// Cuts a replica off from the others, or ends the cut.
+    pub fn set_cut(&mut self, n: usize, is_cut: bool) {
+        for other in 0..self.nodes.len() {
+            for link in [(n, other), (other, n)] {
+                if is_cut {
+                    self.cut.insert(link);
+                } else {
+                    self.cut.remove(&link);
+                }
+            }
+        }
+    }
+
+    /// Returns the replica that leads, when one knows that it does.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &usize| self.nodes[*n].member.as_ref().is_some_and(|m| m.leads());
+        (0..self.nodes.len()).find(leads)
+    }
+
+    /// Returns the number of voters as the leader knows them.
+    pub fn voters(&self) -> usize {
+        let leader = self.leader().and_then(|n| self.nodes[n].member.as_ref());
+        leader.map_or(0, |m| m.raft().membership().voters.len())
+    }
+
+    /// Hands the next configuration to one replica.
+    pub fn configure(&mut self, n: usize) {
+        self.sent_version += self.rng.random_range(1..4);
+        let version = self.sent_version;
+        self.configure_version(n, version);
+    }
+
+    /// Hands a configuration to one replica.
+    pub fn configure_version(&mut self, n: usize, version: u64) {
+        let ask = Ask::Configure(Box::new(config(version)));
+        self.question(n, ask, Question::Configure(version));
+    }
+
+    /// Reads the configuration back at one replica.
+    pub fn read(&mut self, n: usize) {
+        let acked = self.acked_version;
+        self.question(n, Ask::ReadConfig, Question::Read(acked));
+    }
+
+    /// Has an upstream announce that it leaves.
+    pub fn drain(&mut self, upstream: usize) {
+        self.upstreams.list[upstream].drains = true;
+        let announced = self.upstreams.announcement(upstream);
+        let n = self.rng.random_range(0..4);
+        self.question(n, Ask::Announce(announced), Question::Drain(upstream));
+    }
+
+    /// Reports load on keys to the leader, as an entry host does.
+    pub fn report(&mut self, counts: Vec<(Key, u32)>) {
+        let Some(n) = self.leader() else { return };
+        let ask = Ask::Follow {
+            host: "e1".to_string(),
+            have: Default::default(),
+            counts: vec![carobreel::directory::ask::KeyCounts {
+                service: SERVICE.to_string(),
+                counts,
+            }],
+        };
+        self.question(n, ask, Question::Other);
+    }
+
+    fn question(&mut self, n: usize, ask: Ask, about: Question) {
+        self.next_question += 1;
+        let token = self.next_question;
+        self.questions.insert(token, about);
+        let delay = self.rng.random_range(1..30);
+        self.push(delay, Event::Ask(n, ask, token));
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.order += 1;
+        let queued = Queued {
+            at: self.now + delay,
+            order: self.order,
+            event,
+        };
+        self.queue.push(Reverse(queued));
+    }
+
+    fn start(&mut self, n: usize, first: bool) {
+        let founders: Vec<std::net::SocketAddr> =
+            self.nodes_addresses().into_iter().take(3).collect();
+        let own: std::net::SocketAddr = self.address(n);
+        let mut disk = self.nodes[n].disk.clone();
+        let founds = first && n < 3;
+        if disk.identity.is_none() {
+            let drawn = ReplicaId(self.rng.random());
+            disk.identity = Some(if founds { founder_id(own) } else { drawn });
+            if founds {
+                disk.snapshot = founding(&founders);
+            }
+        }
+        let recovered = Recovered {
+            identity: Identity {
+                replica: disk.identity.unwrap(),
+            },
+            hard: disk.hard,
+            log: Log::new(disk.snapshot.clone(), disk.entries.clone()),
+            torn_bytes: 0,
+        };
+        let start = Start {
+            timing: Timing {
+                heartbeat_ms: 100,
+                election_ms: 800,
+                reserve_ms: 0,
+            },
+            hold_ms: HOLD_MS,
+            voters: 3,
+            recovered,
+            seed: self.rng.random(),
+        };
+        self.nodes[n].member = Some(Replica::open(disk, start, Mono(self.now)));
+        self.nodes[n].frozen_until = 0;
+        let phase = self.rng.random_range(0..TICK_MS);
+        self.push(phase, Event::Tick(n));
+        self.push(JOIN_MS, Event::Join(n));
+    }
+
+    fn nodes_addresses(&self) -> Vec<std::net::SocketAddr> {
+        (0..4).map(|n| self.address(n)).collect()
+    }
+
+    fn address(&self, n: usize) -> std::net::SocketAddr {
+        format!("10.0.0.{}:7000", n + 1).parse().unwrap()
+    }
+
+    fn handle(&mut self, event: Event) {
+        let node = match &event {
+            Event::Tick(n) | Event::Deliver(n, _) | Event::Ask(n, ..) | Event::Called(n, ..) => {
+                Some(*n)
+            }
+            _ => None,
+        };
+        if let Some(n) = node {
+            let frozen_until = self.nodes[n].frozen_until;
+            if frozen_until > self.now {
+                self.push(frozen_until - self.now, event);
+                return;
+            }
+        }
+        match event {
+            Event::Tick(n) => {
+                if self.nodes[n].member.is_none() {
+                    return;
+                }
+                self.step(n, |m, now| m.tick(now));
+                self.push(TICK_MS, Event::Tick(n));
+            }
+            Event::Deliver(n, messages) => self.step(n, |m, now| m.receive(messages, now)),
+            Event::Ask(n, ask, token) => self.ask(n, ask, token),
+            Event::Called(n, life, number, result) => {
+                if self.lives[n] == life {
+                    self.step(n, |m, now| m.finish_call(number, result, now));
+                }
+            }
+            Event::CallArrives(n, call, is_late) => self.call_arrives(n, call, is_late),
+            Event::Reply(token, reply) => self.replied(token, reply),
+            Event::Restart(n) => self.start(n, false),
+            Event::Announce(n) => self.announce(n),
+            Event::Join(n) => self.join(n),
+        }
+    }
+
+    fn ask(&mut self, n: usize, ask: Ask, token: u64) {
+        let Some(member) = &self.nodes[n].member else {
+            return;
+        };
+        let leader = member.leader_host();
+        let forward = leader.and_then(|host| self.nodes.iter().position(|x| x.address == host));
+        match forward {
+            Some(leader) if leader != n && !member.leads() => {
+                if !self.cut.contains(&(n, leader)) {
+                    let delay = self.delay(n, leader);
+                    let ask = Event::Ask(leader, ask, token);
+                    // A replica that thinks wrongly that another leads passes on once too often.
+                    if self.rng.random_range(0..10) > 0 {
+                        self.push(delay, ask);
+                    }
+                }
+            }
+            _ => self.step(n, |m, now| m.ask(ask, token, now)),
+        }
+    }
+
+    fn step(
+        &mut self,
+        n: usize,
+        f: impl FnOnce(&mut Member, Mono) -> Result<Output<u64>, Report<StorageError>>,
+    ) {
+        let now = Mono(self.now);
+        let Some(member) = &mut self.nodes[n].member else {
+            return;
+        };
+        let led = member.leads();
+        let output = f(member, now).expect("the model's disks don't fail");
+        let leads = self.nodes[n].member.as_ref().is_some_and(|m| m.leads());
+        self.leaders += u64::from(leads && !led);
+        for (token, reply) in output.replies {
+            let delay = self.rng.random_range(1..30);
+            self.push(delay, Event::Reply(token, reply));
+        }
+        let mut by_node: BTreeMap<usize, Vec<Message>> = BTreeMap::new();
+        for msg in output.messages {
+            if let Some(to) = self.node_of(msg.to) {
+                by_node.entry(to).or_default().push(msg);
+            }
+        }
+        for (to, messages) in by_node {
+            let is_lost = self.rng.random_range(0..1_000) < self.faults.lost;
+            if self.cut.contains(&(n, to)) || is_lost {
+                continue;
+            }
+            let delay = self.delay(n, to);
+            self.push(delay, Event::Deliver(to, messages));
+        }
+        for call in output.calls {
+            let delay = self.rng.random_range(1..60);
+            if Mono(self.now + delay) >= output.calls_until {
+                let result = CallResult::NotSent;
+                self.push(delay, Event::Called(n, self.lives[n], call.number, result));
+                continue;
+            }
+            let is_late = self.rng.random_range(0..1_000) < self.faults.late_calls;
+            self.push(delay, Event::CallArrives(n, call, is_late));
+        }
+    }
+
+    fn node_of(&self, id: ReplicaId) -> Option<usize> {
+        let is = |node: &Node| node.member.as_ref().is_some_and(|m| m.raft().id() == id);
+        self.nodes.iter().position(is)
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> u64 {
+        let same = self.nodes[from].region == self.nodes[to].region;
+        let base = if same { 1 } else { 30 };
+        base + self.rng.random_range(0..3)
+    }
+
+    fn call_arrives(&mut self, n: usize, call: Call, is_late: bool) {
+        let life = self.lives[n];
+        let delay = self.rng.random_range(1..60);
+        let (result, after) = if is_late {
+            let apply_at = self.now + self.rng.random_range(2_000..12_000);
+            self.upstreams.apply_late(&call, self.now, apply_at);
+            (CallResult::Unknown, call.timeout_ms)
+        } else {
+            match self.upstreams.apply(&call, self.now) {
+                Some((result, after)) => (result, delay + after),
+                None => (CallResult::Unknown, call.timeout_ms),
+            }
+        };
+        self.push(after, Event::Called(n, life, call.number, result));
+    }
+
+    fn announce(&mut self, n: usize) {
+        self.push(ANNOUNCE_MS, Event::Announce(n));
+        let upstream = &self.upstreams.list[n];
+        if !upstream.up || upstream.cut {
+            return;
+        }
+        let announced = self.upstreams.announcement(n);
+        let to = self.rng.random_range(0..4);
+        let about = if upstream.drains {
+            Question::Drain(n)
+        } else {
+            Question::Announce(n, upstream.incarnation.born_ms)
+        };
+        self.question(to, Ask::Announce(announced), about);
+    }
+
+    fn join(&mut self, n: usize) {
+        let Some(member) = &self.nodes[n].member else {
+            return;
+        };
+        let id = member.raft().id();
+        let is_member = member.raft().membership().replicas().any(|(r, _)| r == id);
+        let is_lost = !is_member || member.raft().leader().is_none();
+        let host = self.nodes[n].address.clone();
+        self.push(JOIN_MS, Event::Join(n));
+        if let (true, Some(leader)) = (is_lost, self.leader()) {
+            if !self.cut.contains(&(n, leader)) {
+                let ask = Ask::Join { host, replica: id };
+                self.question(leader, ask, Question::Other);
+            }
+        }
+    }
+
+    fn replied(&mut self, token: u64, reply: Reply) {
+        let Some(question) = self.questions.remove(&token) else {
+            return;
+        };
+        match (question, reply) {
+            (Question::Configure(version), Reply::Done) => {
+                self.acked_version = self.acked_version.max(version);
+            }
+            (Question::Read(acked), Reply::Config(source)) => {
+                let text = source.map(|s| String::from_utf8(s).unwrap());
+                let version: u64 = text.map_or(0, |t| t.parse().unwrap());
+                assert!(
+                    version >= acked,
+                    "at {}: read {version}, but {acked} was acknowledged before",
+                    self.now
+                );
+                self.reads += 1;
+            }
+            (Question::Announce(n, born_ms), Reply::Done) => {
+                let upstream = &mut self.upstreams.list[n];
+                if upstream.incarnation.born_ms == born_ms {
+                    upstream.known_at.get_or_insert(self.now);
+                }
+            }
+            (Question::Drain(n), Reply::Done) => {
+                self.acked_drains.insert(n);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns what the leader knows of the upstream.
+    pub fn leader_state(&self) -> Option<&carobreel::directory::state::State> {
+        let n = self.leader()?;
+        Some(self.nodes[n].member.as_ref()?.state())
+    }
+}
+
+/// Returns a configuration whose document is its number.
+pub fn config(version: u64) -> StoredConfig {
+    let service = Service {
+        health_path: "/health".to_string(),
+        connections_max: 100,
+        keyed: true,
+        warmup_ms: 3_000,
+    };
+    let config = RouteConfig {
+        version,
+        routes: Vec::<Route>::new(),
+        services: BTreeMap::from([(SERVICE.to_string(), service)]),
+        limits: Default::default(),
+    };
+    StoredConfig {
+        config,
+        source: version.to_string().into_bytes(),
+    }
+}
