Name the upstream in calls about keys, so that its successor at the address refuses them

Change: grants and releases name the upstream that they are for; a refusal as misdirected proves that the upstream has ended.

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -58,6 +58,8 @@
     pub number: u64,
     /// Whom to call.
     pub address: SocketAddr,
+    /// The upstream that the call is for; another one at the address must not carry it out.
+    pub upstream: String,
     /// The service, for logs.
     pub service: String,
     /// The first key.
@@ -81,6 +83,8 @@
     Fenced,
     /// Nothing was sent.
     NotSent,
+    /// Another upstream has the address, and didn't carry it out.
+    Misdirected,
     /// It may be carried out, now or later.
     Unknown,
 }
@@ -431,6 +435,7 @@
                 step.calls.push(Call {
                     number,
                     address: donor.address,
+                    upstream: donor.incarnation.id.clone(),
                     service: m.service.clone(),
                     from: m.from,
                     to: m.to,
@@ -539,6 +544,7 @@
             step.calls.push(Call {
                 number,
                 address: upstream.address,
+                upstream: upstream.incarnation.id.clone(),
                 service,
                 from,
                 to,
--- a/src/directory/lessor/book.rs
+++ b/src/directory/lessor/book.rs
@@ -84,6 +84,8 @@
                 self.fenced.insert(place.clone());
             }
             CallResult::NotSent => {}
+            // Its address belongs to another process: this one has ended.
+            CallResult::Misdirected => bounds.heard_at = Mono(0),
             CallResult::Unknown => bounds.doubtful_until = bounds.doubtful_until.max(until),
         }
         if let Some(renewal) = self.renewals.get_mut(place) {
@@ -107,6 +109,7 @@
                     self.handovers.insert(place, handover);
                 }
             }
+            CallResult::Misdirected => m.stage = Stage::Waiting(m.doubtful_until.max(now)),
             _ => m.stage = Stage::Retrying(now.plus(RETRY_MS)),
         }
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -9,7 +9,7 @@
 /// What is left of the time that the caller waits, in milliseconds.
 const TIME_LEFT: HeaderName = HeaderName::from_static("carobreel-deadline-ms");
 /// The only upstream that may run the request.
-const ONLY_UPSTREAM: HeaderName = HeaderName::from_static("carobreel-expect-instance");
+pub(super) const ONLY_UPSTREAM: HeaderName = HeaderName::from_static("carobreel-expect-instance");
 const KEY: HeaderName = HeaderName::from_static("carobreel-shard-key");
 /// Made by the upstream's own code.
 const STAMP: HeaderName = HeaderName::from_static("carobreel-server-stamp");
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -13,6 +13,8 @@
 use crate::directory::lessor::{Call, CallResult, Order};
 use crate::http::{Answer, Client};
 
+use super::headers::ONLY_UPSTREAM;
+
 /// Opening a connection takes at most this long: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The header in which an upstream hands over what it knows of released keys.
@@ -67,7 +69,7 @@
 }
 
 fn request(call: &Call) -> crate::http::Call {
-    match &call.order {
+    let request = match &call.order {
         Order::Grant { hold_ms, handover } => {
             let mut body = json!({
                 "from": call.from,
@@ -84,7 +86,8 @@
             let body = json!({ "from": call.from, "to": call.to, "fence": call.fence });
             crate::http::Call::post("/v1/release", body.to_string())
         }
-    }
+    };
+    request.header(ONLY_UPSTREAM.as_str(), &call.upstream)
 }
 
 fn result(answer: &Answer) -> CallResult {
@@ -94,6 +97,7 @@
             CallResult::Done((!handover.is_empty()).then(|| handover.to_string()))
         }
         StatusCode::CONFLICT => CallResult::Fenced,
+        StatusCode::MISDIRECTED_REQUEST => CallResult::Misdirected,
         _ => CallResult::Unknown,
     }
 }
