--- a/src/directory/model.rs
+++ b/src/directory/model.rs
@@ -37,7 +37,7 @@
     pub prefix: String,
     /// What may be repeated.
     pub repeat: Repeat,
-    /// The longest time until a caller has an answer, in milliseconds; 0 for no limit.
+    /// The longest time until a caller has an answer, in milliseconds.
     pub timeout_ms: u64,
     /// The time within which an answer earns its full worth, in milliseconds.
     pub objective_ms: u64,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -161,10 +161,7 @@
             return respond(&Failure::failed(StatusCode::NOT_FOUND, "no route"));
         };
         let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
-        let limit_ms = match route.timeout_ms {
-            0 => patience_ms,
-            timeout_ms => patience_ms.min(timeout_ms),
-        };
+        let limit_ms = patience_ms.min(route.timeout_ms);
         let end = began.plus(limit_ms);
         let read = read_body(body, &view, limit_ms).await;
         let body = match read {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -30,8 +30,7 @@
     hostname: String,
     path_prefix: String,
     kind: String,
-    #[serde(default)]
-    timeout: Option<String>,
+    timeout: String,
     #[serde(default)]
     target_latency: Option<String>,
     #[serde(default)]
@@ -90,10 +89,12 @@
 /// use carobreel::platform::config::read;
 ///
 /// let text = br#"{"version":"r7","services":[{"name":"maps"}],"routes":[{"name":"a",
-///     "hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","service":"maps"}]}"#;
+///     "hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","timeout":"1s",
+///     "service":"maps"}]}"#;
 /// assert_eq!(read(text).unwrap().version, 7);
 /// let text = br#"{"version":"r8","services":[],"routes":[{"name":"a",
-///     "hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","service":"maps"}]}"#;
+///     "hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","timeout":"1s",
+///     "service":"maps"}]}"#;
 /// assert_eq!(read(text).unwrap_err(), "route a: there is no service maps");
 /// ```
 pub fn read(text: &[u8]) -> Result<RouteConfig, String> {
@@ -152,7 +153,10 @@
     if !route.path_prefix.starts_with('/') {
         return Err(format!("{at}: the prefix doesn't begin with a slash"));
     }
-    let timeout_ms = time(&at, "timeout", route.timeout.as_deref())?.unwrap_or(0);
+    let timeout_ms = time(&at, "timeout", Some(&route.timeout))?.unwrap_or(0);
+    if timeout_ms == 0 {
+        return Err(format!("{at}: timeout leaves no time for an answer"));
+    }
     if timeout_ms > TIMEOUT_MAX_MS {
         return Err(format!("{at}: timeout is over ten minutes"));
     }
@@ -172,6 +176,9 @@
     if targets.is_empty() {
         return Err(format!("{at}: names no service"));
     }
+    if targets.iter().all(|t| t.weight == 0) {
+        return Err(format!("{at}: all weights are 0"));
+    }
     if let Some(unknown) = targets.iter().find(|t| !services.contains_key(&t.service)) {
         return Err(format!("{at}: there is no service {}", unknown.service));
     }
