Refuse at once what can't be answered in time; place hot keys on fast upstreams

Found by printing the planner's loads (trial). Ruled out: late detection (the key stood out within 0.6 s), moves that hang.

Change: a gateway admits a request only if the queue's estimated wait leaves its objective in reach, counting the time that a returning caller lost before, and tells when there will be room; working time is measured per upstream and reported; the leader weighs loads by speed and moves a hot key to the fastest upstream, other keys away from it. Followers' requests are held 200 ms instead of 400.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -18,6 +18,17 @@
     pub counts: Vec<(Key, u32)>,
 }
 
+/// How fast an upstream has worked for an entry host since the last report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamSpeed {
+    /// The upstream's id.
+    pub upstream: String,
+    /// The time that it worked on requests, in milliseconds.
+    pub total_ms: u32,
+    /// The requests.
+    pub answers: u32,
+}
+
 /// A request to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
@@ -37,6 +48,8 @@
         have: Versions,
         /// What it has seen since its last request.
         counts: Vec<KeyCounts>,
+        /// How fast upstreams were.
+        speeds: Vec<UpstreamSpeed>,
     },
     /// A replica that isn't part of the log wants to become one.
     Join {
--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -23,7 +23,7 @@
 /// The load that is assumed when none was reported, in requests a second.
 const EVEN_FLOOR: f64 = 10.0;
 /// Half of a key's counted requests are forgotten after this long, in milliseconds.
-const HALF_LIFE_MS: f64 = 1_200.0;
+const HALF_LIFE_MS: f64 = 1_000.0;
 /// A key below this many requests a second is no longer counted on its own.
 const COLD_RATE: f64 = 0.02;
 
@@ -63,6 +63,63 @@
     }
 }
 
+/// A key that loads its owner this many times the mean goes to a faster upstream.
+const HOT_KEY: f64 = 2.0;
+/// What a hot key's new owner must be faster by.
+const FASTER: f64 = 1.25;
+/// Answers that must be known before an upstream's speed is believed.
+const ANSWERS_MIN: f64 = 6.0;
+/// Half of what is known of speeds is forgotten after this long, in milliseconds.
+const SPEED_HALF_LIFE_MS: f64 = 4_000.0;
+/// The slowest and the fastest that an upstream is taken for, against the mean.
+const SPEED_RANGE: (f64, f64) = (0.3, 2.5);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Worked {
+    total_ms: f64,
+    answers: f64,
+}
+
+/// How fast upstreams are, against the mean of their service.
+#[derive(Clone, Debug, Default)]
+pub struct Speeds {
+    by_id: BTreeMap<String, Worked>,
+}
+
+impl Speeds {
+    /// Adds answers that were seen.
+    pub fn add(&mut self, id: &str, total_ms: u32, answers: u32) {
+        let worked = self.by_id.entry(id.to_string()).or_default();
+        worked.total_ms += f64::from(total_ms);
+        worked.answers += f64::from(answers);
+    }
+
+    /// Forgets a part of what was seen `elapsed_ms` ago.
+    pub fn decay(&mut self, elapsed_ms: u64) {
+        let keep = 0.5_f64.powf(elapsed_ms as f64 / SPEED_HALF_LIFE_MS);
+        self.by_id.retain(|_, worked| {
+            worked.total_ms *= keep;
+            worked.answers *= keep;
+            worked.answers > 0.5
+        });
+    }
+
+    /// Returns the speeds of `owners`; those of which little is known count as average.
+    fn of(&self, owners: &BTreeSet<Incarnation>) -> BTreeMap<Incarnation, f64> {
+        let known = |who: &Incarnation| {
+            let worked = self.by_id.get(&who.id)?;
+            (worked.answers >= ANSWERS_MIN).then(|| worked.total_ms / worked.answers)
+        };
+        let means: Vec<f64> = owners.iter().filter_map(known).collect();
+        let mean = means.iter().sum::<f64>() / means.len().max(1) as f64;
+        let speed = |who: &Incarnation| match known(who) {
+            Some(own) if own > 0.0 => (mean / own).clamp(SPEED_RANGE.0, SPEED_RANGE.1),
+            _ => 1.0,
+        };
+        owners.iter().map(|o| (o.clone(), speed(o))).collect()
+    }
+}
+
 /// Keys that should go to another owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Transfer {
@@ -94,6 +151,8 @@
     pub table: &'a KeyTable,
     /// The load.
     pub rates: &'a KeyRates,
+    /// How fast upstreams are.
+    pub speeds: &'a Speeds,
     /// Upstreams that may own keys.
     pub owners: &'a BTreeSet<Incarnation>,
     /// Keys that are changing hands already.
@@ -103,13 +162,20 @@
 impl Plan<'_> {
     /// Returns at most `most` transfers.
     pub fn transfers(&self, most: usize) -> Vec<Transfer> {
-        let mut chosen: Vec<Transfer> = Vec::new();
         let even = (self.rates.total() * EVEN_SHARE).max(EVEN_FLOOR) / 65_536.0;
+        let speeds = self.speeds.of(self.owners);
         let mut loads = self.loads(even);
         if loads.len() < 2 {
-            return chosen;
+            return Vec::new();
+        }
+        let mean = loads.values().sum::<f64>() / speeds.values().sum::<f64>();
+        for (who, load) in &mut loads {
+            *load /= speeds.get(who).copied().unwrap_or(1.0);
+        }
+        let mut chosen = self.hot_keys(mean, &speeds);
+        for t in &chosen {
+            self.shift(&mut loads, &speeds, t, even);
         }
-        let mean = loads.values().sum::<f64>() / loads.len() as f64;
         while chosen.len() < most {
             let Some((donor, high)) = extreme(&loads, |a, b| a > b) else {
                 break;
@@ -120,12 +186,12 @@
             if high < mean * OVERLOAD && low > mean * UNDERLOAD {
                 break;
             }
-            let wanted = (high - mean).max(mean * WORTHWHILE).min(mean - low);
+            let (fast, slow) = (speeds[&receiver], speeds[&donor]);
+            let wanted = ((high - mean).max(mean * WORTHWHILE) * slow).min((mean - low) * fast);
             if wanted < mean * WORTHWHILE {
                 break;
             }
-            let Some((from, to, load)) = self.segment(&donor, wanted, high - low, even, &chosen)
-            else {
+            let Some((from, to)) = self.segment(&donor, wanted, high - low, even, &chosen) else {
                 // This donor has nothing suitable, such as a single hot key: the next one may.
                 loads.remove(&donor);
                 if loads.len() < 2 {
@@ -133,18 +199,70 @@
                 }
                 continue;
             };
-            *loads.entry(donor.clone()).or_default() -= load;
-            *loads.entry(receiver.clone()).or_default() += load;
-            chosen.push(Transfer {
+            let transfer = Transfer {
                 from,
                 to,
                 donor,
                 receiver,
+            };
+            self.shift(&mut loads, &speeds, &transfer, even);
+            chosen.push(transfer);
+        }
+        chosen
+    }
+
+    /// Moves keys that are too hot for their owner to the fastest upstream that has none such.
+    fn hot_keys(&self, mean: f64, speeds: &BTreeMap<Incarnation, f64>) -> Vec<Transfer> {
+        let mut chosen = Vec::new();
+        let all = self.rates.between(0, Key::MAX);
+        let hot: Vec<(Key, f64)> = all.filter(|(_, rate)| *rate > mean * HOT_KEY).collect();
+        let is_moving = |key: Key| self.moving.iter().any(|m| m.from <= key && key <= m.to);
+        let mut taken: BTreeSet<&Incarnation> = hot
+            .iter()
+            .filter_map(|(key, _)| self.table.owner_of(*key))
+            .map(|r| &r.owner)
+            .collect();
+        for (key, _) in &hot {
+            let Some(range) = self.table.owner_of(*key) else {
+                continue;
+            };
+            let Some(own) = speeds.get(&range.owner).filter(|_| !is_moving(*key)) else {
+                continue;
+            };
+            let free = speeds.iter().filter(|(who, _)| !taken.contains(who));
+            let fastest = free.max_by(|a, b| a.1.total_cmp(b.1));
+            let Some((receiver, _)) = fastest.filter(|(_, speed)| **speed > own * FASTER) else {
+                continue;
+            };
+            taken.insert(receiver);
+            chosen.push(Transfer {
+                from: *key,
+                to: *key,
+                donor: range.owner.clone(),
+                receiver: receiver.clone(),
             });
         }
         chosen
     }
 
+    /// Counts a transfer in the loads for each speed.
+    fn shift(
+        &self,
+        loads: &mut BTreeMap<Incarnation, f64>,
+        speeds: &BTreeMap<Incarnation, f64>,
+        t: &Transfer,
+        even: f64,
+    ) {
+        let load = self.load(t.from, t.to, even);
+        let speed = |who: &Incarnation| speeds.get(who).copied().unwrap_or(1.0);
+        if let Some(donor) = loads.get_mut(&t.donor) {
+            *donor -= load / speed(&t.donor);
+        }
+        if let Some(receiver) = loads.get_mut(&t.receiver) {
+            *receiver += load / speed(&t.receiver);
+        }
+    }
+
     fn loads(&self, even: f64) -> BTreeMap<Incarnation, f64> {
         let mut loads: BTreeMap<Incarnation, f64> =
             self.owners.iter().map(|o| (o.clone(), 0.0)).collect();
@@ -192,7 +310,7 @@
         gap: f64,
         even: f64,
         chosen: &[Transfer],
-    ) -> Option<(Key, Key, f64)> {
+    ) -> Option<(Key, Key)> {
         let parts = self.free_parts(donor, chosen);
         let mut best: Option<(Key, Key)> = None;
         for (first, last) in &parts {
@@ -214,15 +332,15 @@
                 }
             }
         }
-        if let Some((from, to)) = best {
-            return Some((from, to, self.load(from, to, even)));
+        if best.is_some() {
+            return best;
         }
         let largest = parts.into_iter().max_by_key(|(from, to)| to - from)?;
         self.even_segment(largest, wanted, even)
     }
 
     /// Takes keys from the beginning of a part until they carry enough.
-    fn even_segment(&self, part: (Key, Key), wanted: f64, even: f64) -> Option<(Key, Key, f64)> {
+    fn even_segment(&self, part: (Key, Key), wanted: f64, even: f64) -> Option<(Key, Key)> {
         let (from, last) = part;
         let mut sum = 0.0;
         let mut hot = self.rates.between(from, last).peekable();
@@ -238,7 +356,7 @@
             to += 1;
         }
         let fits = sum >= wanted * WORTHWHILE && sum <= wanted * OVERSHOOT;
-        (fits && to < last).then_some((from, to, sum))
+        (fits && to < last).then_some((from, to))
     }
 }
 
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -9,7 +9,8 @@
 
 use crate::clock::Mono;
 
-use super::balance::{KeyRates, Moving, Plan};
+use super::ask::UpstreamSpeed;
+use super::balance::{KeyRates, Moving, Plan, Speeds};
 use super::model::{parts_outside, Incarnation, Key, KeyRange, KeyTable, Phase};
 use super::state::{Command, State};
 
@@ -31,7 +32,7 @@
 /// Ranges that may change owner at once.
 const MOVES_MAX: usize = 24;
 /// Between two planning rounds, in milliseconds.
-const PLAN_EVERY_MS: u64 = 250;
+const PLAN_EVERY_MS: u64 = 150;
 /// The first layout waits this long for a service's upstreams to appear, in milliseconds.
 const GATHER_MS: u64 = 1_000;
 /// Ranges that each upstream gets in the first layout.
@@ -171,6 +172,7 @@
     handovers: BTreeMap<(String, Key, Key), String>,
     fenced: BTreeSet<Place>,
     rates: BTreeMap<String, KeyRates>,
+    speeds: Speeds,
     first_seen: BTreeMap<String, Mono>,
     next_number: u64,
     planned_at: Mono,
@@ -192,6 +194,7 @@
             handovers: BTreeMap::new(),
             fenced: BTreeSet::new(),
             rates: BTreeMap::new(),
+            speeds: Speeds::default(),
             first_seen: BTreeMap::new(),
             next_number: 1,
             planned_at: elected_at,
@@ -219,6 +222,12 @@
         }
     }
 
+    /// Adds how fast an entry host found an upstream.
+    pub fn report_speed(&mut self, speed: &UpstreamSpeed) {
+        self.speeds
+            .add(&speed.upstream, speed.total_ms, speed.answers);
+    }
+
     /// Takes the result of a call.
     pub fn finish(&mut self, number: u64, result: CallResult, now: Mono) {
         match self.pending.remove(&number) {
@@ -236,6 +245,7 @@
         if now.since(self.decayed_at) >= PLAN_EVERY_MS {
             let elapsed_ms = now.since(self.decayed_at);
             self.rates.values_mut().for_each(|r| r.decay(elapsed_ms));
+            self.speeds.decay(elapsed_ms);
             self.decayed_at = now;
         }
         let Some(stored) = &state.config else {
@@ -366,6 +376,7 @@
         let plan = Plan {
             table,
             rates,
+            speeds: &self.speeds,
             owners: &candidates,
             moving: &moving,
         };
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -23,7 +23,7 @@
 /// The name of this log in events and messages.
 pub const LOG_NAME: &str = "directory";
 /// How long a follower's request waits for a change, in milliseconds.
-const FOLLOW_HOLD_MS: u64 = 400;
+const FOLLOW_HOLD_MS: u64 = 200;
 /// The lease of a leader ends this much before a successor can be elected, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 150;
 /// Between two looks at what is to be granted, in milliseconds.
@@ -245,11 +245,19 @@
                 return;
             }
             Ask::ReadConfig => {}
-            Ask::Follow { host, counts, .. } => {
+            Ask::Follow {
+                host,
+                counts,
+                speeds,
+                ..
+            } => {
                 lead.followers.insert(host.clone(), now);
                 for report in counts {
                     lead.lessor.report(&report.service, &report.counts);
                 }
+                for speed in speeds {
+                    lead.lessor.report_speed(speed);
+                }
                 answer_at = now.plus(FOLLOW_HOLD_MS);
             }
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,7 +14,7 @@
 use crate::entry::pool::{Connection, Proof};
 use crate::entry::request::strip_hop_by_hop;
 
-use super::peer::{Peer, Place};
+use super::peer::{Peer, Peers, Place};
 use super::protocol::{AnswerFacts, Protocol};
 
 /// A request that may run once goes out on a connection that was proven alive this recently, in
@@ -58,14 +58,23 @@
     pub repeat: Repeat,
     /// The time that is left, in milliseconds.
     pub left_ms: u64,
+    /// The way to the upstream and back, in milliseconds.
+    pub way_ms: u64,
 }
 
 impl Exchange {
     /// Sends the request and reads the whole answer.
-    pub async fn run<P: Protocol>(self, peer: &Arc<Peer>, protocol: &P, clock: &Clock) -> Attempt {
-        let _place = Place::take(peer);
+    pub async fn run<P: Protocol>(
+        self,
+        peer: &Arc<Peer>,
+        peers: &Peers,
+        protocol: &P,
+        clock: &Clock,
+    ) -> Attempt {
+        let place = Place::take(peer, clock.now());
         let began = Instant::now();
         let left = Duration::from_millis(self.left_ms);
+        let way_ms = self.way_ms as f64;
         let attempt = self.exchange(peer, protocol, clock);
         let outcome = match tokio::time::timeout(left, attempt).await {
             Ok(outcome) => outcome,
@@ -78,7 +87,7 @@
         let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
         let now = clock.now();
         match &outcome {
-            Attempt::Answer(_) => peer.load().succeed(took_ms, now),
+            Attempt::Answer(_) => peers.succeed(peer, (took_ms - way_ms).max(1.0), place.total),
             Attempt::ErrorAnswer(_) | Attempt::Failed(_, Sent::MayHaveRun) => {
                 peer.load().fail(now);
             }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -7,10 +7,15 @@
 
 /// A report of load loses half of its weight in this time, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 300.0;
-/// The weight of a new sample in the running mean of answer times.
+/// The weight of a new sample in the running mean of working times.
 const SAMPLE_WEIGHT: f64 = 0.15;
-/// A first guess at how long an upstream works on a request, in milliseconds.
-const WORK_GUESS_MS: f64 = 100.0;
+/// How much of a queue's estimated wait is believed: reports are some answers old.
+const CERTAINTY: f64 = 0.9;
+/// When a caller may come back to a queue that is full: this much after there should be room, in
+/// milliseconds.
+const ROOM_MARGIN_MS: f64 = 30.0;
+/// The latest that a caller is told to come back, in milliseconds.
+const RETRY_AFTER_MAX_MS: f64 = 400.0;
 /// An upstream that failed is passed over for this long at first, in milliseconds.
 const EJECT_FIRST_MS: u64 = 500;
 /// The longest time for which an upstream is passed over, in milliseconds.
@@ -35,14 +40,15 @@
 }
 
 impl LoadView {
-    /// Returns the view of an upstream that was just heard of.
-    pub fn new(slots: u32) -> LoadView {
+    /// Returns the view of an upstream that was just heard of; `work_ms` is how long others of its
+    /// service work on a request.
+    pub fn new(slots: u32, work_ms: f64) -> LoadView {
         LoadView {
             slots: slots.max(1),
             own: 0,
             others: 0.0,
             reported_at: Mono(0),
-            work_ms: WORK_GUESS_MS,
+            work_ms,
             failures: 0,
             ejected_until: Mono(0),
             ejections: 0,
@@ -56,13 +62,15 @@
         self.reported_at = now;
     }
 
-    /// Notes a whole answer and how long it took.
-    pub fn succeed(&mut self, took_ms: f64, now: Mono) {
-        let queue = (self.total(now) / f64::from(self.slots)).max(1.0);
-        let work_ms = took_ms / queue;
-        self.work_ms += (work_ms - self.work_ms) * SAMPLE_WEIGHT;
+    /// Notes a whole answer: how long it took after `total` requests were there, this one included.
+    /// Returns how long the upstream worked on it, in milliseconds, as far as can be told.
+    pub fn succeed(&mut self, took_ms: f64, total: f64) -> f64 {
+        let turns = (total / f64::from(self.slots)).max(1.0);
+        let sample_ms = took_ms / turns;
+        self.work_ms += (sample_ms - self.work_ms) * SAMPLE_WEIGHT;
         self.failures = 0;
         self.ejections = 0;
+        sample_ms
     }
 
     /// Notes a failure; returns whether the upstream is passed over from now on.
@@ -104,7 +112,7 @@
     /// use carobreel::clock::Mono;
     /// use carobreel::gateway::balance::LoadView;
     ///
-    /// let mut idle = LoadView::new(2);
+    /// let mut idle = LoadView::new(2, 100.0);
     /// let mut full = idle.clone();
     /// idle.report(1, 2, Mono(0));
     /// full.report(4, 2, Mono(0));
@@ -119,6 +127,47 @@
     }
 }
 
+/// What is known of the time that a request has.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TimeLeft {
+    /// Until its answer earns less, in milliseconds; not above 0 once that has passed.
+    pub objective_ms: f64,
+    /// Until nobody waits for it any more, in milliseconds.
+    pub deadline_ms: f64,
+}
+
+/// Tells whether an upstream can answer in time, or when a caller may come back, in milliseconds.
+///
+/// Answers overload: a queue whose wait outlasts the objective would make every answer late, and a
+/// request that is refused at once can still be answered elsewhere or later.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::clock::Mono;
+/// use carobreel::gateway::balance::{admit, LoadView, TimeLeft};
+///
+/// let mut view = LoadView::new(3, 90.0);
+/// let left = TimeLeft { objective_ms: 400.0, deadline_ms: 1_000.0 };
+/// assert_eq!(admit(&view, 2.0, left, Mono(0)), Ok(()));
+/// view.report(15, 3, Mono(0));
+/// assert!(admit(&view, 2.0, left, Mono(0)).is_err());
+/// ```
+pub fn admit(view: &LoadView, way_ms: f64, left: TimeLeft, now: Mono) -> Result<(), u64> {
+    let answer_ms = view.answer_ms(now) * CERTAINTY + way_ms;
+    let has_room = view.total(now) < f64::from(view.slots);
+    let limit_ms = if left.objective_ms > 0.0 {
+        left.objective_ms.min(left.deadline_ms)
+    } else {
+        left.deadline_ms
+    };
+    if answer_ms <= limit_ms || (has_room && answer_ms <= left.deadline_ms) {
+        return Ok(());
+    }
+    let room_ms = answer_ms - limit_ms.max(view.work_ms) + ROOM_MARGIN_MS;
+    Err(room_ms.clamp(ROOM_MARGIN_MS, RETRY_AFTER_MAX_MS) as u64)
+}
+
 /// A choice with its estimate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -160,8 +160,9 @@
 
     async fn ask(&self, host: &str) -> Found {
         let mut ask = self.follow();
-        if let Ask::Follow { counts, .. } = &mut ask {
+        if let Ask::Follow { counts, speeds, .. } = &mut ask {
             *counts = self.counter.take();
+            *speeds = self.peers.take_speeds();
         }
         exchange(&self.endpoint, host.to_string(), ask).await
     }
@@ -171,6 +172,7 @@
             host: self.host.clone(),
             have: self.view.borrow().versions,
             counts: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use crate::clock::Mono;
+use crate::directory::ask::UpstreamSpeed;
 use crate::directory::model::{Incarnation, Upstream};
 use crate::entry::pool::Pool;
 
@@ -14,6 +16,11 @@
 /// for hosts that join.
 const CONNECTIONS_USED_PERCENT: u32 = 80;
 
+/// A first guess at how long an upstream works on a request, in milliseconds.
+const WORK_GUESS_MS: f64 = 90.0;
+/// The weight of a new sample in the running mean of a service's working time.
+const SERVICE_SAMPLE_WEIGHT: f64 = 0.02;
+
 /// One upstream.
 #[derive(Debug)]
 pub struct Peer {
@@ -25,16 +32,22 @@
     pub address: SocketAddr,
     /// Its connections.
     pub pool: Pool,
+    service: String,
     load: Mutex<LoadView>,
+    worked: Mutex<Worked>,
+}
+
+/// Work that wasn't reported to the directory yet.
+#[derive(Clone, Copy, Debug, Default)]
+struct Worked {
+    total_ms: f64,
+    answers: u32,
 }
 
 impl Peer {
     /// Returns the view of its load.
     pub fn load(&self) -> MutexGuard<'_, LoadView> {
-        match self.load.lock() {
-            Ok(load) => load,
-            Err(poisoned) => poisoned.into_inner(),
-        }
+        lock(&self.load)
     }
 }
 
@@ -42,13 +55,20 @@
 #[derive(Debug)]
 pub struct Place {
     peer: Arc<Peer>,
+    /// Requests that the upstream had when this one was sent, this one included.
+    pub total: f64,
 }
 
 impl Place {
     /// Counts one more request to `peer` until the place is dropped.
-    pub fn take(peer: &Arc<Peer>) -> Place {
-        peer.load().own += 1;
-        Place { peer: peer.clone() }
+    pub fn take(peer: &Arc<Peer>, now: Mono) -> Place {
+        let mut load = peer.load();
+        load.own += 1;
+        let total = load.total(now);
+        Place {
+            peer: peer.clone(),
+            total,
+        }
     }
 }
 
@@ -63,12 +83,14 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     by_id: Mutex<BTreeMap<String, Arc<Peer>>>,
+    /// How long upstreams work on a request, by service, in milliseconds.
+    work_ms: Mutex<BTreeMap<String, f64>>,
 }
 
 impl Peers {
     /// Returns an upstream's peer, which is made when it is first used.
     pub fn get(&self, upstream: &Upstream, view: &View) -> Arc<Peer> {
-        let mut by_id = self.lock();
+        let mut by_id = lock(&self.by_id);
         let id = &upstream.incarnation.id;
         if let Some(peer) = by_id.get(id) {
             let same = peer.incarnation == upstream.incarnation && peer.address == upstream.address;
@@ -84,22 +106,64 @@
             zone: upstream.zone.clone(),
             address: upstream.address,
             pool: Pool::new(upstream.address, share as usize),
-            load: Mutex::new(LoadView::new(upstream.slots)),
+            service: upstream.service.clone(),
+            load: Mutex::new(LoadView::new(
+                upstream.slots,
+                self.work_ms(&upstream.service),
+            )),
+            worked: Mutex::default(),
         });
         by_id.insert(id.clone(), peer.clone());
         peer
     }
 
+    /// Notes a whole answer of `peer`, on a request that waited for `total` others.
+    pub fn succeed(&self, peer: &Peer, took_ms: f64, total: f64) {
+        let sample_ms = peer.load().succeed(took_ms, total);
+        let mut worked = lock(&peer.worked);
+        worked.total_ms += sample_ms;
+        worked.answers += 1;
+        let mut by_service = lock(&self.work_ms);
+        match by_service.get_mut(&peer.service) {
+            Some(mean) => *mean += (sample_ms - *mean) * SERVICE_SAMPLE_WEIGHT,
+            None => {
+                by_service.insert(peer.service.clone(), sample_ms);
+            }
+        }
+    }
+
+    /// Returns how fast upstreams worked since the last call.
+    pub fn take_speeds(&self) -> Vec<UpstreamSpeed> {
+        let by_id = lock(&self.by_id);
+        let mut speeds = Vec::new();
+        for (id, peer) in by_id.iter() {
+            let worked = std::mem::take(&mut *lock(&peer.worked));
+            if worked.answers > 0 {
+                speeds.push(UpstreamSpeed {
+                    upstream: id.clone(),
+                    total_ms: worked.total_ms as u32,
+                    answers: worked.answers,
+                });
+            }
+        }
+        speeds
+    }
+
+    fn work_ms(&self, service: &str) -> f64 {
+        let by_service = lock(&self.work_ms);
+        by_service.get(service).copied().unwrap_or(WORK_GUESS_MS)
+    }
+
     /// Drops the peers that `view` doesn't name any more.
     pub fn retain(&self, view: &View) {
-        let mut by_id = self.lock();
+        let mut by_id = lock(&self.by_id);
         by_id.retain(|id, _| view.upstreams().any(|u| u.incarnation.id == *id));
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Peer>>> {
-        match self.by_id.lock() {
-            Ok(by_id) => by_id,
-            Err(poisoned) => poisoned.into_inner(),
-        }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    match mutex.lock() {
+        Ok(guard) => guard,
+        Err(poisoned) => poisoned.into_inner(),
     }
 }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -19,7 +19,7 @@
 use crate::event::{Event, Recorder};
 
 use super::attempt::{Attempt, Exchange, Sent};
-use super::balance::choose;
+use super::balance::{admit, choose, TimeLeft};
 use super::follow::KeyCounter;
 use super::peer::{Peer, Peers};
 use super::protocol::{CallerFacts, Protocol};
@@ -213,6 +213,9 @@
                 }
                 Pick::Nobody => break Failure::refused("no upstream", BUSY_RETRY_AFTER_MS),
             };
+            if let Err(retry_after_ms) = self.admit(call, &peer, now) {
+                break Failure::refused("no room in time", retry_after_ms);
+            }
             let entry_hosts = self.inner.view.borrow().entry_hosts;
             let is_repeat = !tried.is_empty();
             if is_repeat && !self.budget().take(call.service, entry_hosts, now) {
@@ -306,6 +309,28 @@
         }
     }
 
+    fn round_trip_ms(&self, zone: &str) -> u64 {
+        if self.is_near(zone) {
+            ROUND_TRIP_MS
+        } else {
+            REGION_ROUND_TRIP_MS
+        }
+    }
+
+    /// Tells whether `peer` can answer in time, or when the caller may come back. A caller that has
+    /// less patience than the route allows was here before: that time has passed already.
+    fn admit(&self, call: &Call<'_>, peer: &Peer, now: Mono) -> Result<(), u64> {
+        let patience_ms = call.facts.patience_ms.unwrap_or(call.route.timeout_ms);
+        let before_ms = call.route.timeout_ms.saturating_sub(patience_ms);
+        let passed_ms = before_ms + now.since(call.began);
+        let left = TimeLeft {
+            objective_ms: call.route.objective_ms as f64 - passed_ms as f64,
+            deadline_ms: call.end.since(now) as f64,
+        };
+        let way_ms = self.round_trip_ms(&peer.zone) as f64;
+        admit(&peer.load(), way_ms, left, now)
+    }
+
     fn is_near(&self, zone: &str) -> bool {
         let regions = &self.inner.regions;
         regions.get(zone) == regions.get(&self.inner.zone)
@@ -313,13 +338,9 @@
 
     async fn attempt(&self, call: &Call<'_>, peer: &Arc<Peer>) -> Attempt {
         let left_ms = call.end.since(self.inner.clock.now());
-        let way_back_ms = if self.is_near(&peer.zone) {
-            ROUND_TRIP_MS / 2
-        } else {
-            REGION_ROUND_TRIP_MS / 2
-        };
+        let way_ms = self.round_trip_ms(&peer.zone);
         let mut headers = call.parts.headers.clone();
-        let budget_ms = left_ms.saturating_sub(way_back_ms).max(1);
+        let budget_ms = left_ms.saturating_sub(way_ms / 2).max(1);
         let upstream = &peer.incarnation.id;
         self.inner
             .protocol
@@ -332,9 +353,11 @@
             id: call.facts.id.clone(),
             repeat: call.route.repeat,
             left_ms,
+            way_ms,
         };
+        let inner = &self.inner;
         exchange
-            .run(peer, &self.inner.protocol, &self.inner.clock)
+            .run(peer, &inner.peers, &inner.protocol, &inner.clock)
             .await
     }
 
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -298,6 +298,7 @@
                 service: SERVICE.to_string(),
                 counts,
             }],
+            speeds: Vec::new(),
         };
         self.question(n, ask, Question::Other);
     }
