Weigh the way by the size of answers; send followers owners and upstreams as differences

Ruled out: keyed requests (their owner is where it is).

Change: what a far upstream must be better by grows with the mean size of the route's answers; updates carry only ranges with newer fences and upstreams that changed.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -1,7 +1,5 @@
 //! What processes ask of the directory's leader.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 
 use crate::raft::ReplicaId;
@@ -67,10 +65,12 @@
     pub versions: Versions,
     /// The configuration, when it changed.
     pub config: Option<RouteConfig>,
-    /// All upstreams, when any of them changed.
-    pub upstreams: Option<Vec<Upstream>>,
-    /// All owners by service, when any of them changed.
-    pub owners: Option<BTreeMap<String, Vec<KeyRange>>>,
+    /// Upstreams that changed.
+    pub upstreams: Vec<Upstream>,
+    /// Whether `upstreams` names all that there are.
+    pub whole: bool,
+    /// Key ranges with a new owner by service, in the order of their fencing tokens.
+    pub owners: Vec<(String, Vec<KeyRange>)>,
     /// Addresses of all replicas.
     pub replicas: Vec<String>,
     /// Entry hosts that follow the directory.
--- a/src/directory/model.rs
+++ b/src/directory/model.rs
@@ -145,7 +145,8 @@
     pub to: Key,
     /// The owner.
     pub owner: Incarnation,
-    /// The fencing token of this ownership; higher than any before it on these keys.
+    /// The fencing token of this ownership; higher than any before it on these keys. All
+    /// ownerships of a deployment have fences of their own.
     pub fence: u64,
 }
 
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -18,7 +18,7 @@
 use super::ask::{Ask, Reply, Update};
 use super::lessor::{Call, CallResult, Lessor};
 use super::membership::Roster;
-use super::state::{Command, State, Versions};
+use super::state::{Command, State};
 
 /// The name of this log in events and messages.
 pub const LOG_NAME: &str = "directory";
@@ -381,7 +381,7 @@
                 from: *from,
                 to: *to,
                 owner: owner.id.clone(),
-                fence: self.state.fence + 1,
+                fence: self.state.versions.owners + 1,
             },
             _ => return,
         };
@@ -524,13 +524,12 @@
             }
             let reply = match &w.ask {
                 Ask::Follow { have, .. } => {
-                    let entry_hosts = lead.followers.len() as u32;
-                    Reply::Update(Box::new(update(
-                        &self.state,
-                        *have,
-                        &self.raft,
-                        entry_hosts,
-                    )))
+                    let replicas = self.raft.membership().replicas();
+                    Reply::Update(Box::new(Update {
+                        replicas: replicas.map(|(_, host)| host.clone()).collect(),
+                        entry_hosts: lead.followers.len() as u32,
+                        ..self.state.update_since(*have)
+                    }))
                 }
                 _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
             };
@@ -554,26 +553,6 @@
     }
 }
 
-fn update(state: &State, have: Versions, raft: &Raft, entry_hosts: u32) -> Update {
-    let versions = state.versions;
-    let config = state.config.as_ref().map(|c| &c.config);
-    let owners = || {
-        let by_service = state.owners.iter();
-        by_service
-            .map(|(service, table)| (service.clone(), table.ranges.values().cloned().collect()))
-            .collect()
-    };
-    Update {
-        versions,
-        config: config.filter(|_| have.config != versions.config).cloned(),
-        upstreams: (have.upstreams != versions.upstreams)
-            .then(|| state.upstreams.values().cloned().collect()),
-        owners: (have.owners != versions.owners).then(owners),
-        replicas: raft.membership().replicas().map(|r| r.1.clone()).collect(),
-        entry_hosts,
-    }
-}
-
 fn encode<V: Serialize>(value: &V) -> Vec<u8> {
     postcard::to_stdvec(value).expect("state always encodes")
 }
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::model::{Incarnation, Key, KeyTable, Phase, RouteConfig, Upstream};
+use super::ask::Update;
+use super::model::{Incarnation, Key, KeyRange, KeyTable, Phase, RouteConfig, Upstream};
 
 /// A configuration with the text it was read from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,15 +40,14 @@
     },
 }
 
-/// Versions of the parts of the state; each is the log index of the part's last change, and the
-/// configuration's is its own number.
+/// Versions of the parts of the state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
     /// The configuration's number.
     pub config: u64,
-    /// The upstreams.
+    /// The upstreams: the log index of their last change.
     pub upstreams: u64,
-    /// The owners of keys.
+    /// The owners of keys: the newest fencing token.
     pub owners: u64,
 }
 
@@ -58,10 +58,12 @@
     pub config: Option<StoredConfig>,
     /// Every upstream that is known, by id.
     pub upstreams: BTreeMap<String, Upstream>,
+    /// When each upstream last changed, by id.
+    changed: BTreeMap<String, u64>,
+    /// When an upstream was last forgotten.
+    forgot: u64,
     /// Owners of keys, by service.
     pub owners: BTreeMap<String, KeyTable>,
-    /// The newest fencing token.
-    pub fence: u64,
     /// Versions of the parts.
     pub versions: Versions,
 }
@@ -78,6 +80,8 @@
                     let known = self.upstreams.get(&who.id);
                     if known.is_some_and(|u| u.incarnation == who) {
                         self.upstreams.remove(&who.id);
+                        self.changed.remove(&who.id);
+                        self.forgot = index;
                         self.versions.upstreams = index;
                     }
                 }
@@ -88,14 +92,43 @@
                 to,
                 owner,
             } => {
-                self.fence += 1;
+                self.versions.owners += 1;
                 let table = self.owners.entry(service).or_default();
-                table.assign(from, to, owner, self.fence);
-                self.versions.owners = index;
+                table.assign(from, to, owner, self.versions.owners);
             }
         }
     }
 
+    /// Returns what changed since `have`.
+    pub fn update_since(&self, have: Versions) -> Update {
+        let config = self.config.as_ref().map(|c| &c.config);
+        let versions = self.versions;
+        let whole = have.upstreams < self.forgot || have.upstreams > versions.upstreams;
+        let is_new = |u: &&Upstream| {
+            let changed = self.changed.get(&u.incarnation.id).copied().unwrap_or(0);
+            whole || changed > have.upstreams
+        };
+        let upstreams = self.upstreams.values().filter(is_new).cloned().collect();
+        let mut owners = Vec::new();
+        for (service, table) in &self.owners {
+            let newer = table.ranges.values().filter(|r| r.fence > have.owners);
+            let mut ranges: Vec<KeyRange> = newer.cloned().collect();
+            ranges.sort_by_key(|r| r.fence);
+            if !ranges.is_empty() {
+                owners.push((service.clone(), ranges));
+            }
+        }
+        Update {
+            versions,
+            config: config.filter(|_| have.config != versions.config).cloned(),
+            upstreams,
+            whole,
+            owners,
+            replicas: Vec::new(),
+            entry_hosts: 0,
+        }
+    }
+
     /// Returns the number of the configuration in force, 0 for none.
     pub fn config_version(&self) -> u64 {
         self.versions.config
@@ -158,8 +191,10 @@
                 && other.incarnation.born_ms < who.born_ms;
             if replaced {
                 other.phase = Phase::Gone;
+                self.changed.insert(other.incarnation.id.clone(), index);
             }
         }
+        self.changed.insert(who.id.clone(), index);
         self.upstreams.insert(who.id, next);
         self.versions.upstreams = index;
     }
@@ -170,6 +205,7 @@
         };
         if known.incarnation.born_ms <= who.born_ms || who.born_ms == 0 {
             known.phase = Phase::Gone;
+            self.changed.insert(who.id.clone(), index);
             self.versions.upstreams = index;
         }
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -120,6 +120,7 @@
             peers,
             budget: Mutex::new(RetryBudget::new(settings.retry)),
             counter,
+            answer_kib: Mutex::default(),
             closing: AtomicBool::new(false),
             clock,
             recorder: recorder.clone(),
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -1,12 +1,13 @@
 //! A caller's request from its head to its answer.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -29,8 +30,14 @@
 /// What an upstream in another availability zone must be better by, in milliseconds of waiting:
 /// traffic between zones costs.
 const OTHER_ZONE_MS: f64 = 12.0;
-/// The same for another region: the way there and back, and the link is narrow.
+/// The same for each KiB of the answer that is expected.
+const OTHER_ZONE_MS_PER_KIB: f64 = 1.5;
+/// What an upstream in another region must be better by, in milliseconds: the way there and back.
 const OTHER_REGION_MS: f64 = 90.0;
+/// The same for each KiB of the answer that is expected: the link is narrow and paid by volume.
+const OTHER_REGION_MS_PER_KIB: f64 = 10.0;
+/// The weight of a new answer in the running mean of a route's answers.
+const SIZE_WEIGHT: f64 = 0.05;
 /// The way to another region and back, in milliseconds.
 const REGION_ROUND_TRIP_MS: u64 = 62;
 /// The way to an upstream of the same region and back, in milliseconds.
@@ -62,7 +69,7 @@
     /// This host's availability zone.
     pub zone: String,
     /// Regions by zone.
-    pub regions: std::collections::BTreeMap<String, String>,
+    pub regions: BTreeMap<String, String>,
     /// What is known of the directory.
     pub view: watch::Receiver<Arc<View>>,
     /// Upstreams.
@@ -71,6 +78,8 @@
     pub budget: Mutex<RetryBudget>,
     /// Load by key, for the directory.
     pub counter: Arc<KeyCounter>,
+    /// The mean size of a route's answers, in KiB.
+    pub answer_kib: Mutex<BTreeMap<String, f64>>,
     /// Whether the process ends soon and connections are to be closed.
     pub closing: AtomicBool,
     /// Time.
@@ -187,7 +196,7 @@
         if let Some(key) = call.key {
             self.inner.counter.note(service, key);
         }
-        self.budget().note_request(service, began);
+        lock(&self.inner.budget).note_request(service, began);
         self.run(&call).await
     }
 
@@ -218,13 +227,16 @@
             }
             let entry_hosts = self.inner.view.borrow().entry_hosts;
             let is_repeat = !tried.is_empty();
-            if is_repeat && !self.budget().take(call.service, entry_hosts, now) {
+            if is_repeat && !lock(&self.inner.budget).take(call.service, entry_hosts, now) {
                 break Failure::refused("retry budget used up", BUSY_RETRY_AFTER_MS);
             }
             tried.push(peer.clone());
             let attempt = self.attempt(call, &peer).await;
             let (reason, sent) = match attempt {
-                Attempt::Answer(response) => return response,
+                Attempt::Answer(response) => {
+                    self.note_size(&call.route.name, &response);
+                    return response;
+                }
                 Attempt::ErrorAnswer(response) => {
                     kept = Some(response);
                     ("error answer", Sent::MayHaveRun)
@@ -289,7 +301,8 @@
             .map(|u| self.inner.peers.get(u, &view))
             .collect();
         let loads: Vec<_> = peers.iter().map(|p| p.load().clone()).collect();
-        let ways = peers.iter().map(|p| self.way_ms(&p.zone));
+        let answer_kib = self.answer_kib(&call.route.name);
+        let ways = peers.iter().map(|p| self.way_cost_ms(&p.zone, answer_kib));
         let views = loads.iter().zip(ways).enumerate();
         let views = views.map(|(n, (load, way_ms))| (n, load, way_ms));
         let mut rng = rand::rng();
@@ -299,13 +312,32 @@
         }
     }
 
-    fn way_ms(&self, zone: &str) -> f64 {
+    /// Returns what the way to a zone is worth, in milliseconds of waiting.
+    fn way_cost_ms(&self, zone: &str, answer_kib: f64) -> f64 {
         if zone == self.inner.zone {
             0.0
         } else if self.is_near(zone) {
-            OTHER_ZONE_MS
+            OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KIB * answer_kib
         } else {
-            OTHER_REGION_MS
+            OTHER_REGION_MS + OTHER_REGION_MS_PER_KIB * answer_kib
+        }
+    }
+
+    fn answer_kib(&self, route: &str) -> f64 {
+        lock(&self.inner.answer_kib)
+            .get(route)
+            .copied()
+            .unwrap_or(0.0)
+    }
+
+    fn note_size(&self, route: &str, response: &Response<Full<Bytes>>) {
+        let kib = response.body().size_hint().lower() as f64 / 1_024.0;
+        let mut sizes = lock(&self.inner.answer_kib);
+        match sizes.get_mut(route) {
+            Some(mean) => *mean += (kib - *mean) * SIZE_WEIGHT,
+            None => {
+                sizes.insert(route.to_string(), kib);
+            }
         }
     }
 
@@ -361,13 +393,6 @@
             .await
     }
 
-    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
-        match self.inner.budget.lock() {
-            Ok(budget) => budget,
-            Err(poisoned) => poisoned.into_inner(),
-        }
-    }
-
     fn note_attempt(
         &self,
         call: &Call<'_>,
@@ -403,6 +428,13 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    match mutex.lock() {
+        Ok(guard) => guard,
+        Err(poisoned) => poisoned.into_inner(),
+    }
+}
+
 fn text(id: &Option<HeaderValue>) -> String {
     let id = id.as_ref().and_then(|v| v.to_str().ok());
     id.unwrap_or("-").to_string()
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -44,28 +44,35 @@
                 next.config = Arc::new(config);
             }
         }
-        if let Some(list) = update.upstreams {
+        if !update.upstreams.is_empty() || update.whole {
+            let mut by_id = if update.whole {
+                BTreeMap::new()
+            } else {
+                (*self.upstreams).clone()
+            };
+            for upstream in update.upstreams {
+                by_id.insert(upstream.incarnation.id.clone(), upstream);
+            }
             let mut ready: BTreeMap<String, Vec<Upstream>> = BTreeMap::new();
-            for upstream in list.iter().filter(|u| u.phase == Phase::Ready) {
+            for upstream in by_id.values().filter(|u| u.phase == Phase::Ready) {
                 let of_service = ready.entry(upstream.service.clone()).or_default();
                 of_service.push(upstream.clone());
             }
             next.ready = Arc::new(ready);
-            let by_id = list.into_iter().map(|u| (u.incarnation.id.clone(), u));
-            next.upstreams = Arc::new(by_id.collect());
-            next.versions.upstreams = update.versions.upstreams;
+            next.upstreams = Arc::new(by_id);
         }
-        if let Some(owners) = update.owners {
-            let table = |ranges: Vec<_>| KeyTable {
-                ranges: ranges
-                    .into_iter()
-                    .map(|r: crate::directory::model::KeyRange| (r.from, r))
-                    .collect(),
-            };
-            let tables = owners.into_iter().map(|(s, ranges)| (s, table(ranges)));
-            next.owners = Arc::new(tables.collect());
-            next.versions.owners = update.versions.owners;
+        if !update.owners.is_empty() {
+            let mut owners = (*self.owners).clone();
+            for (service, ranges) in update.owners {
+                let table = owners.entry(service).or_default();
+                for range in ranges {
+                    table.assign(range.from, range.to, range.owner, range.fence);
+                }
+            }
+            next.owners = Arc::new(owners);
         }
+        next.versions.upstreams = update.versions.upstreams;
+        next.versions.owners = update.versions.owners;
         next.replicas = update.replicas;
         next.entry_hosts = update.entry_hosts.max(1);
         next.confirmed_at = now;
