Measure slow upstreams by what they don't answer; start connections sooner

After a power loss the first datagram to a peer that was still starting was repeated after a second.

Change: a request that outlasts the present estimate counts as a lower bound of the working time; an upstream may be taken for twenty times slower than the mean; handshakes assume a round trip of 70 ms; a stopping gateway takes connections for 3.2 s, past the balancer's second question.

--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -72,7 +72,7 @@
 /// Half of what is known of speeds is forgotten after this long, in milliseconds.
 const SPEED_HALF_LIFE_MS: f64 = 4_000.0;
 /// The slowest and the fastest that an upstream is taken for, against the mean.
-const SPEED_RANGE: (f64, f64) = (0.3, 2.5);
+const SPEED_RANGE: (f64, f64) = (0.05, 2.5);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Worked {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,7 +1,7 @@
 //! One request to one upstream, and what its outcome proves.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -71,10 +71,9 @@
         protocol: &P,
         clock: &Clock,
     ) -> Attempt {
-        let place = Place::take(peer, clock.now());
-        let began = Instant::now();
+        let mut place = Place::take(peer, clock.now());
         let left = Duration::from_millis(self.left_ms);
-        let way_ms = self.way_ms as f64;
+        let way_ms = self.way_ms;
         let attempt = self.exchange(peer, protocol, clock);
         let outcome = match tokio::time::timeout(left, attempt).await {
             Ok(outcome) => outcome,
@@ -84,14 +83,12 @@
                 Attempt::Failed("no answer in time", Sent::MayHaveRun)
             }
         };
-        let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
-        let now = clock.now();
         match &outcome {
-            Attempt::Answer(_) => peers.succeed(peer, (took_ms - way_ms).max(1.0), place.total),
+            Attempt::Answer(_) => place.succeed(peers, way_ms),
             Attempt::ErrorAnswer(_) | Attempt::Failed(_, Sent::MayHaveRun) => {
-                peer.load().fail(now);
+                peer.load().fail(clock.now());
             }
-            Attempt::Failed(_, Sent::NotRun) => {}
+            Attempt::Failed(_, Sent::NotRun) => place.settle(),
         }
         outcome
     }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -73,6 +73,18 @@
         sample_ms
     }
 
+    /// Notes a request that wasn't answered for `took_ms`: the upstream is at least that slow.
+    /// Returns the sample, when it says something.
+    pub fn outlast(&mut self, took_ms: f64, total: f64) -> Option<f64> {
+        let turns = (total / f64::from(self.slots)).max(1.0);
+        let sample_ms = took_ms / turns;
+        if sample_ms <= self.work_ms {
+            return None;
+        }
+        self.work_ms += (sample_ms - self.work_ms) * SAMPLE_WEIGHT;
+        Some(sample_ms)
+    }
+
     /// Notes a failure; returns whether the upstream is passed over from now on.
     pub fn fail(&mut self, now: Mono) -> bool {
         self.failures += 1;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -35,7 +35,7 @@
 const CLOSE_AFTER: Duration = Duration::from_millis(500);
 /// After a request to stop, new connections are taken for this long: the balancer in front learns of
 /// it only by asking.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_200);
 /// The process ends this long before it would be killed.
 const END_MARGIN: Duration = Duration::from_millis(500);
 /// A pause after a connection that couldn't be taken, such as for want of descriptors.
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 
 use crate::clock::Mono;
 use crate::directory::ask::UpstreamSpeed;
@@ -45,6 +46,12 @@
 }
 
 impl Peer {
+    fn note_work(&self, sample_ms: f64) {
+        let mut worked = lock(&self.worked);
+        worked.total_ms += sample_ms;
+        worked.answers += 1;
+    }
+
     /// Returns the view of its load.
     pub fn load(&self) -> MutexGuard<'_, LoadView> {
         lock(&self.load)
@@ -56,7 +63,9 @@
 pub struct Place {
     peer: Arc<Peer>,
     /// Requests that the upstream had when this one was sent, this one included.
-    pub total: f64,
+    total: f64,
+    began: Instant,
+    is_settled: bool,
 }
 
 impl Place {
@@ -68,14 +77,42 @@
         Place {
             peer: peer.clone(),
             total,
+            began: Instant::now(),
+            is_settled: false,
         }
     }
+
+    /// Notes a whole answer, which took `way_ms` of its time on the way.
+    pub fn succeed(&mut self, peers: &Peers, way_ms: u64) {
+        self.is_settled = true;
+        let took_ms = (self.took_ms() - way_ms as f64).max(1.0);
+        let sample_ms = self.peer.load().succeed(took_ms, self.total);
+        self.peer.note_work(sample_ms);
+        peers.note_work(&self.peer.service, sample_ms);
+    }
+
+    /// Notes that the request didn't reach the upstream, or was refused there.
+    pub fn settle(&mut self) {
+        self.is_settled = true;
+    }
+
+    fn took_ms(&self) -> f64 {
+        self.began.elapsed().as_secs_f64() * 1_000.0
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         let mut load = self.peer.load();
         load.own = load.own.saturating_sub(1);
+        if self.is_settled {
+            return;
+        }
+        let sample_ms = load.outlast(self.took_ms(), self.total);
+        drop(load);
+        if let Some(sample_ms) = sample_ms {
+            self.peer.note_work(sample_ms);
+        }
     }
 }
 
@@ -117,17 +154,12 @@
         peer
     }
 
-    /// Notes a whole answer of `peer`, on a request that waited for `total` others.
-    pub fn succeed(&self, peer: &Peer, took_ms: f64, total: f64) {
-        let sample_ms = peer.load().succeed(took_ms, total);
-        let mut worked = lock(&peer.worked);
-        worked.total_ms += sample_ms;
-        worked.answers += 1;
+    fn note_work(&self, service: &str, sample_ms: f64) {
         let mut by_service = lock(&self.work_ms);
-        match by_service.get_mut(&peer.service) {
+        match by_service.get_mut(service) {
             Some(mean) => *mean += (sample_ms - *mean) * SERVICE_SAMPLE_WEIGHT,
             None => {
-                by_service.insert(peer.service.clone(), sample_ms);
+                by_service.insert(service.to_string(), sample_ms);
             }
         }
     }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -20,6 +20,9 @@
 /// A connection without any answer for this long is given up, in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 3_000;
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
+/// The round trip that is assumed before one was measured: the longest between regions. A first
+/// datagram that is lost, as while the peer starts, is sent again after three of them.
+const INITIAL_RTT: Duration = Duration::from_millis(70);
 /// Opening a connection takes at most this long.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Streams that one peer may have open at once.
@@ -433,6 +436,7 @@
     let mut config = TransportConfig::default();
     config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
     config.keep_alive_interval(Some(KEEP_ALIVE));
+    config.initial_rtt(INITIAL_RTT);
     config.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS_MAX));
     config.max_concurrent_uni_streams(VarInt::from_u32(STREAMS_MAX));
     config
