Draw new fences at an election; let fewer unanswered grants put off a move

Cause: after an election every move waited out what the former leader might have sent, 3.7 s, though the upstream was alive; a silent upstream's keys waited for the last of up to five unanswered renewals.

Change: a new leader draws new fences for all keys, so that an upstream that took one of its grants refuses older ones, and only own unanswered calls count against a release; holds 2.5 s, elections from 600 ms, grants awaited 300 ms, two unanswered ones before an upstream must be heard of; a transfer takes keys near to the load that is wanted.

--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -312,7 +312,7 @@
         chosen: &[Transfer],
     ) -> Option<(Key, Key)> {
         let parts = self.free_parts(donor, chosen);
-        let mut best: Option<(Key, Key)> = None;
+        let mut best: Option<(f64, Key, Key)> = None;
         for (first, last) in &parts {
             let hot: Vec<(Key, f64)> = self.rates.between(*first, *last).collect();
             let mut start = 0;
@@ -325,15 +325,20 @@
                 }
                 let fits = sum >= wanted * UNDERSHOOT && sum <= wanted * OVERSHOOT;
                 let alone = start == end && sum > wanted * OVERSHOOT && sum < gap * UNDERSHOOT;
+                if !fits && !alone {
+                    continue;
+                }
+                // Few keys for their load, and near to what is wanted.
                 let (from, to) = (hot[start].0, hot[end].0);
-                let is_better = best.is_none_or(|(a, b)| to - from < b - a);
-                if (fits || alone) && is_better {
-                    best = Some((from, to));
+                let keys = f64::from(to - from) + 1.0;
+                let cost = keys / sum * (1.0 + (wanted - sum).abs() / wanted);
+                if best.is_none_or(|(other, _, _)| cost < other) {
+                    best = Some((cost, from, to));
                 }
             }
         }
-        if best.is_some() {
-            return best;
+        if let Some((_, from, to)) = best {
+            return Some((from, to));
         }
         let largest = parts.into_iter().max_by_key(|(from, to)| to - from)?;
         self.even_segment(largest, wanted, even)
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -32,7 +32,7 @@
 /// Between two heartbeats of a leader, in milliseconds.
 const HEARTBEAT_MS: u64 = 100;
 /// The shortest silence before an election, in milliseconds: several round trips between regions.
-const ELECTION_MS: u64 = 800;
+const ELECTION_MS: u64 = 600;
 /// Requests that may wait for the replica's thread.
 const QUEUE_MAX: usize = 4_096;
 /// Batches that may wait for a peer; more are dropped, and the log sends them again.
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -24,9 +24,12 @@
 /// What is added to each bound for timers and delivery, in milliseconds.
 const MARGIN_MS: u64 = 150;
 /// A grant's answer is awaited this long, in milliseconds.
-pub const GRANT_TIMEOUT_MS: u64 = 500;
+pub const GRANT_TIMEOUT_MS: u64 = 300;
 /// An upstream that answers nothing for this long is taken for lost, in milliseconds.
 const SILENT_MS: u64 = 2_000;
+/// Grants that may stay unanswered before an upstream must be heard of again: each one puts off the
+/// moment at which its keys can be given away.
+const UNANSWERED_MAX: u32 = 2;
 /// The pause before a failed call is made again, in milliseconds.
 const RETRY_MS: u64 = 150;
 /// Ranges that may change owner at once.
@@ -97,8 +100,12 @@
     confirmed_until: Mono,
     /// By grants that weren't: these may be applied after a release.
     doubtful_until: Mono,
+    /// By grants of earlier leaders. An upstream refuses them once it has seen a fence of this one.
+    inherited_until: Mono,
     /// When the upstream last answered or announced itself.
     heard_at: Mono,
+    /// Grants that weren't answered since then.
+    unanswered: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -107,6 +114,7 @@
     in_flight: bool,
     next_at: Mono,
     handover: Option<String>,
+    granted: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,6 +140,8 @@
     donor: Incarnation,
     receiver: Option<Incarnation>,
     stage: Stage,
+    /// Whether the donor has taken a grant of this leader for these keys.
+    has_own_fence: bool,
     /// When the donor can't hold the keys any longer, whatever it was sent.
     expires_at: Mono,
     /// The same, for grants that weren't answered.
@@ -178,6 +188,7 @@
     planned_at: Mono,
     decayed_at: Mono,
     proposed_layout: BTreeSet<String>,
+    has_drawn_fences: bool,
 }
 
 impl Lessor {
@@ -200,6 +211,7 @@
             planned_at: elected_at,
             decayed_at: elected_at,
             proposed_layout: BTreeSet::new(),
+            has_drawn_fences: false,
         }
     }
 
@@ -212,6 +224,7 @@
             .entry(who.clone())
             .or_insert_with(|| inherited(hold_ms, elected_at));
         bounds.heard_at = now;
+        bounds.unanswered = 0;
     }
 
     /// Adds requests that entry hosts have seen.
@@ -241,6 +254,11 @@
     /// ran out may have a successor.
     pub fn step(&mut self, state: &State, now: Mono, may_call: bool) -> Step {
         let mut step = Step::default();
+        if !self.has_drawn_fences {
+            self.has_drawn_fences = true;
+            step.commands.push(Command::DrawFences);
+            return step;
+        }
         self.follow_table(state);
         if now.since(self.decayed_at) >= PLAN_EVERY_MS {
             let elapsed_ms = now.since(self.decayed_at);
@@ -392,6 +410,7 @@
             started.push((part, Some(transfer.receiver)));
         }
         for (range, receiver) in started {
+            let has_own_fence = self.is_granted(service, &range);
             self.moves.push(Move {
                 service: service.to_string(),
                 from: range.from,
@@ -400,6 +419,7 @@
                 donor: range.owner,
                 receiver,
                 stage: Stage::Settling,
+                has_own_fence,
                 expires_at: now,
                 doubtful_until: now,
             });
@@ -426,8 +446,13 @@
     ) {
         let bounds = self.bounds.get(&m.donor).copied().unwrap_or_default();
         if m.stage == Stage::Settling && !self.has_grant_in_flight(m) {
-            m.expires_at = bounds.confirmed_until.max(bounds.doubtful_until);
-            m.doubtful_until = bounds.doubtful_until;
+            let own = bounds.confirmed_until.max(bounds.doubtful_until);
+            m.expires_at = own.max(bounds.inherited_until);
+            m.doubtful_until = if m.has_own_fence {
+                bounds.doubtful_until
+            } else {
+                bounds.doubtful_until.max(bounds.inherited_until)
+            };
             m.stage = Stage::Retrying(now);
         }
         if let Stage::Retrying(at) = m.stage {
@@ -513,6 +538,15 @@
         counts
     }
 
+    /// Tells whether the owner of `part` has taken a grant of it from this leader.
+    fn is_granted(&self, service: &str, part: &KeyRange) -> bool {
+        let first = (service.to_string(), part.fence, 0);
+        let last = (service.to_string(), part.fence, part.from);
+        let mut before = self.renewals.range(first..=last);
+        let piece = before.next_back();
+        piece.is_some_and(|(_, r)| r.granted && r.to >= part.to)
+    }
+
     fn has_grant_in_flight(&self, m: &Move) -> bool {
         self.pending.values().any(|p| match p {
             Pending::Grant { place, to, .. } => {
@@ -539,7 +573,8 @@
             let Some(upstream) = state.live(&owner) else {
                 continue;
             };
-            let is_silent = self.is_silent(&owner, now);
+            let unanswered = self.bounds.get(&owner).map_or(0, |b| b.unanswered);
+            let is_silent = self.is_silent(&owner, now) || unanswered >= UNANSWERED_MAX;
             let Some(renewal) = self.renewals.get_mut(&place) else {
                 continue;
             };
@@ -573,11 +608,12 @@
 mod book;
 
 fn inherited(hold_ms: u64, elected_at: Mono) -> Bounds {
-    let until = elected_at.plus(GRANT_TIMEOUT_MS + longest_hold_ms(hold_ms));
     Bounds {
-        confirmed_until: until,
-        doubtful_until: until,
+        confirmed_until: elected_at,
+        doubtful_until: elected_at,
+        inherited_until: elected_at.plus(GRANT_TIMEOUT_MS + longest_hold_ms(hold_ms)),
         heard_at: elected_at,
+        unanswered: 0,
     }
 }
 
--- a/src/directory/lessor/book.rs
+++ b/src/directory/lessor/book.rs
@@ -40,6 +40,7 @@
                     in_flight: false,
                     next_at: now,
                     handover: self.taken_handover(service, *fence, *from, state),
+                    granted: false,
                 },
             };
             next.to = *to;
@@ -73,10 +74,12 @@
         let until = now.plus(longest_hold_ms(self.hold_ms));
         let bounds = self.bounds.entry(owner).or_default();
         let mut next_at = now.plus(RETRY_MS);
+        let is_done = matches!(result, CallResult::Done(_));
         match result {
             CallResult::Done(_) => {
                 bounds.confirmed_until = bounds.confirmed_until.max(until);
                 bounds.heard_at = now;
+                bounds.unanswered = 0;
                 next_at = now.plus(self.hold_ms / RENEWALS_PER_HOLD);
             }
             CallResult::Fenced => {
@@ -86,11 +89,15 @@
             CallResult::NotSent => {}
             // Its address belongs to another process: this one has ended.
             CallResult::Misdirected => bounds.heard_at = Mono(0),
-            CallResult::Unknown => bounds.doubtful_until = bounds.doubtful_until.max(until),
+            CallResult::Unknown => {
+                bounds.doubtful_until = bounds.doubtful_until.max(until);
+                bounds.unanswered += 1;
+            }
         }
         if let Some(renewal) = self.renewals.get_mut(place) {
             renewal.in_flight = false;
             renewal.next_at = next_at;
+            renewal.granted |= is_done;
         }
     }
 
@@ -109,7 +116,8 @@
                     self.handovers.insert(place, handover);
                 }
             }
-            CallResult::Misdirected => m.stage = Stage::Waiting(m.doubtful_until.max(now)),
+            // The donor has ended, and its successor refuses what was meant for it.
+            CallResult::Misdirected => m.stage = Stage::Waiting(now),
             _ => m.stage = Stage::Retrying(now.plus(RETRY_MS)),
         }
     }
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -27,6 +27,8 @@
     Deregister(Incarnation),
     /// Drops upstreams that haven't been heard of for long.
     Forget(Vec<Incarnation>),
+    /// Draws new fencing tokens for all keys; owners stay.
+    DrawFences,
     /// Gives keys to an owner, with a new fencing token.
     Assign {
         /// The service.
@@ -86,6 +88,13 @@
                     }
                 }
             }
+            Command::DrawFences => {
+                let tables = self.owners.values_mut();
+                for range in tables.flat_map(|t| t.ranges.values_mut()) {
+                    self.versions.owners += 1;
+                    range.fence = self.versions.owners;
+                }
+            }
             Command::Assign {
                 service,
                 from,
--- a/src/host.rs
+++ b/src/host.rs
@@ -11,7 +11,7 @@
 
 /// How long upstreams hold granted keys, in milliseconds: long enough for an election and a renewal
 /// by the new leader, short enough for a lost upstream's keys to be served again within 5 s.
-const HOLD_MS: u64 = 3_000;
+const HOLD_MS: u64 = 2_500;
 /// The longest time from a request to stop to the end, when the settings name none, in milliseconds.
 const GRACE_MS: u64 = 6_000;
 
