Try upstreams that nothing is known of; prove the gateway against upstreams that misbehave

Cause: tests/gateway.rs failed first: of two idle upstreams one got no request in 15 s (0 of 697). An upstream without samples counted as slow as the first guess for as long as the guess was trusted, and near ties always went one way below some milliseconds.

Change: without samples of its own an upstream is as fast as its service; what is known of one fades within seconds; near ties count 4 ms besides a tenth. tests/gateway.rs and tests/bed: the real daemons on loopback with upstreams that truncate, reset, confuse, add answers, shed, fail, stay silent.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -71,7 +71,7 @@
         protocol: &P,
         clock: &Clock,
     ) -> Attempt {
-        let mut place = Place::take(peer, clock.now());
+        let mut place = Place::take(peer, clock);
         let left = Duration::from_millis(self.left_ms);
         let way_ms = self.way_ms;
         let attempt = self.exchange(peer, protocol, clock);
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -9,6 +9,12 @@
 const REPORT_HALF_LIFE_MS: f64 = 300.0;
 /// The weight of a new sample in the running mean of working times.
 const SAMPLE_WEIGHT: f64 = 0.15;
+/// What is known of an upstream's own speed loses half of its weight in this time without a new
+/// sample, in milliseconds; one that is passed over for being slow is tried again.
+const WORK_HALF_LIFE_MS: f64 = 4_000.0;
+/// Estimates that differ by less than this share and this time, in milliseconds, count as equal.
+const NEAR_SHARE: f64 = 0.1;
+const NEAR_MS: f64 = 4.0;
 /// How much of a queue's estimated wait is believed: reports are some answers old.
 const CERTAINTY: f64 = 0.9;
 /// When a caller may come back to a queue that is full: this much after there should be room, in
@@ -34,6 +40,9 @@
     others: f64,
     reported_at: Mono,
     work_ms: f64,
+    worked_at: Option<Mono>,
+    /// How long upstreams of the service work on a request on average, in milliseconds.
+    mean_ms: f64,
     failures: u32,
     ejected_until: Mono,
     ejections: u32,
@@ -49,12 +58,34 @@
             others: 0.0,
             reported_at: Mono(0),
             work_ms,
+            worked_at: None,
+            mean_ms: work_ms,
             failures: 0,
             ejected_until: Mono(0),
             ejections: 0,
         }
     }
 
+    /// Takes the mean working time of the service, in milliseconds.
+    pub fn set_mean(&mut self, mean_ms: f64) {
+        self.mean_ms = mean_ms;
+    }
+
+    fn work_ms(&self, now: Mono) -> f64 {
+        let Some(worked_at) = self.worked_at else {
+            return self.mean_ms;
+        };
+        let age_ms = now.since(worked_at) as f64;
+        let trust = 0.5_f64.powf(age_ms / WORK_HALF_LIFE_MS);
+        self.mean_ms + (self.work_ms - self.mean_ms) * trust
+    }
+
+    fn learn(&mut self, sample_ms: f64, now: Mono) {
+        let known_ms = self.work_ms(now);
+        self.work_ms = known_ms + (sample_ms - known_ms) * SAMPLE_WEIGHT;
+        self.worked_at = Some(now);
+    }
+
     /// Takes a report: `total` requests run or wait, this host's own included.
     pub fn report(&mut self, total: u32, slots: u32, now: Mono) {
         self.slots = slots.max(1);
@@ -64,10 +95,10 @@
 
     /// Notes a whole answer: how long it took after `total` requests were there, this one included.
     /// Returns how long the upstream worked on it, in milliseconds, as far as can be told.
-    pub fn succeed(&mut self, took_ms: f64, total: f64) -> f64 {
+    pub fn succeed(&mut self, took_ms: f64, total: f64, now: Mono) -> f64 {
         let turns = (total / f64::from(self.slots)).max(1.0);
         let sample_ms = took_ms / turns;
-        self.work_ms += (sample_ms - self.work_ms) * SAMPLE_WEIGHT;
+        self.learn(sample_ms, now);
         self.failures = 0;
         self.ejections = 0;
         sample_ms
@@ -75,13 +106,13 @@
 
     /// Notes a request that wasn't answered for `took_ms`: the upstream is at least that slow.
     /// Returns the sample, when it says something.
-    pub fn outlast(&mut self, took_ms: f64, total: f64) -> Option<f64> {
+    pub fn outlast(&mut self, took_ms: f64, total: f64, now: Mono) -> Option<f64> {
         let turns = (total / f64::from(self.slots)).max(1.0);
         let sample_ms = took_ms / turns;
-        if sample_ms <= self.work_ms {
+        if sample_ms <= self.work_ms(now) {
             return None;
         }
-        self.work_ms += (sample_ms - self.work_ms) * SAMPLE_WEIGHT;
+        self.learn(sample_ms, now);
         Some(sample_ms)
     }
 
@@ -135,7 +166,7 @@
         let ahead = (self.total(now) + 1.0 - slots).max(0.0);
         // A nearly full upstream is worse than an empty one even while no one waits.
         let crowd = 0.1 * (self.total(now) / slots).min(1.0);
-        self.work_ms * (1.0 + crowd + ahead / slots)
+        self.work_ms(now) * (1.0 + crowd + ahead / slots)
     }
 }
 
@@ -176,7 +207,7 @@
     if answer_ms <= limit_ms || (has_room && answer_ms <= left.deadline_ms) {
         return Ok(());
     }
-    let room_ms = answer_ms - limit_ms.max(view.work_ms) + ROOM_MARGIN_MS;
+    let room_ms = answer_ms - limit_ms.max(view.work_ms(now)) + ROOM_MARGIN_MS;
     Err(room_ms.clamp(ROOM_MARGIN_MS, RETRY_AFTER_MAX_MS) as u64)
 }
 
@@ -202,7 +233,7 @@
             continue;
         }
         let answer_ms = view.answer_ms(now) + way_ms;
-        let cost = answer_ms * (1.0 + 0.1 * draw());
+        let cost = answer_ms + draw() * (answer_ms * NEAR_SHARE + NEAR_MS);
         if best.as_ref().is_none_or(|(other, _)| cost < *other) {
             let choice = Choice {
                 position,
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-use crate::clock::Mono;
+use crate::clock::Clock;
 use crate::directory::ask::UpstreamSpeed;
 use crate::directory::model::{Incarnation, Upstream};
 use crate::entry::pool::Pool;
@@ -64,19 +64,21 @@
     peer: Arc<Peer>,
     /// Requests that the upstream had when this one was sent, this one included.
     total: f64,
+    clock: Clock,
     began: Instant,
     is_settled: bool,
 }
 
 impl Place {
     /// Counts one more request to `peer` until the place is dropped.
-    pub fn take(peer: &Arc<Peer>, now: Mono) -> Place {
+    pub fn take(peer: &Arc<Peer>, clock: &Clock) -> Place {
         let mut load = peer.load();
         load.own += 1;
-        let total = load.total(now);
+        let total = load.total(clock.now());
         Place {
             peer: peer.clone(),
             total,
+            clock: *clock,
             began: Instant::now(),
             is_settled: false,
         }
@@ -86,7 +88,10 @@
     pub fn succeed(&mut self, peers: &Peers, way_ms: u64) {
         self.is_settled = true;
         let took_ms = (self.took_ms() - way_ms as f64).max(1.0);
-        let sample_ms = self.peer.load().succeed(took_ms, self.total);
+        let sample_ms = self
+            .peer
+            .load()
+            .succeed(took_ms, self.total, self.clock.now());
         self.peer.note_work(sample_ms);
         peers.note_work(&self.peer.service, sample_ms);
     }
@@ -108,7 +113,7 @@
         if self.is_settled {
             return;
         }
-        let sample_ms = load.outlast(self.took_ms(), self.total);
+        let sample_ms = load.outlast(self.took_ms(), self.total, self.clock.now());
         drop(load);
         if let Some(sample_ms) = sample_ms {
             self.peer.note_work(sample_ms);
@@ -132,6 +137,7 @@
         if let Some(peer) = by_id.get(id) {
             let same = peer.incarnation == upstream.incarnation && peer.address == upstream.address;
             if same {
+                peer.load().set_mean(self.work_ms(&upstream.service));
                 return peer.clone();
             }
         }
--- /dev/null
+++ b/tests/bed/mod.rs
@@ -0,0 +1,185 @@
+//! A deployment on loopback addresses: one replica of the directory, gateways, and upstreams that
+//! speak the platform's protocol and misbehave when told to.
+
+pub mod upstream;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use carobreel::clock::Clock;
+use carobreel::daemon::silent;
+use carobreel::directory::daemon::{Directory, Settings};
+use carobreel::event::Recorder;
+use carobreel::gateway::daemon::Gateway;
+use carobreel::host::HostSettings;
+use carobreel::http::{send, Answer, Call, HttpError};
+use carobreel::keys;
+use carobreel::platform::api;
+use carobreel::platform::headers::Headers;
+use carobreel::platform::keys::KeyClient;
+use error_stack::Report;
+use serde_json::{json, Value};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+/// Everything must be ready within this.
+pub const READY: Duration = Duration::from_secs(15);
+const PEER_PORT: u16 = 21_700;
+const CALLERS_PORT: u16 = 21_701;
+const READINESS_PORT: u16 = 21_702;
+const OPERATORS_PORT: u16 = 21_703;
+
+/// A running deployment. Each test has a network number of its own.
+pub struct Bed {
+    network: u8,
+    pub gateway: Option<Gateway<Headers>>,
+    directory: Option<Directory>,
+    _folder: TempDir,
+}
+
+impl Bed {
+    /// Starts a replica and a gateway.
+    pub async fn start(network: u8) -> Bed {
+        let folder = tempfile::tempdir().unwrap();
+        let clock = Clock::start();
+        let recorder = Recorder::new("c1", silent());
+        let address = at(network, 1, PEER_PORT);
+        let settings = Settings {
+            address,
+            seeds: Arc::new(Mutex::new(vec![address])),
+            first_start: true,
+            data_folder: folder.path().to_path_buf(),
+            hold_ms: 2_500,
+            voters: 1,
+        };
+        let tls = keys::unverified().unwrap();
+        let calls = KeyClient::new(clock);
+        let directory =
+            Directory::spawn(settings, tls.clone(), calls, clock, recorder.clone()).unwrap();
+        let listener = TcpListener::bind(at(network, 1, OPERATORS_PORT))
+            .await
+            .unwrap();
+        let router = api::router(directory.handle(), recorder);
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        let text = json!({
+            "host": "e1", "zone": "a", "zones": { "a": "north" },
+            "peer_address": at(network, 2, PEER_PORT).to_string(),
+            "callers": at(network, 2, CALLERS_PORT).to_string(),
+            "readiness": at(network, 2, READINESS_PORT).to_string(),
+            "seeds": [at(network, 1, OPERATORS_PORT).to_string()],
+            "retry_ratio": 0.2, "retry_slack": 50,
+        });
+        let host = HostSettings::parse(&text.to_string()).unwrap();
+        let recorder = Recorder::new("e1", silent());
+        let gateway = Gateway::spawn(&host, &tls, Headers, clock, recorder);
+        Bed {
+            network,
+            gateway: Some(gateway.await.unwrap()),
+            directory: Some(directory),
+            _folder: folder,
+        }
+    }
+
+    /// Returns the address of the bed's upstream `n`.
+    pub fn upstream(&self, n: u8) -> SocketAddr {
+        at(self.network, 10 + n, 80 + 21_700)
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        at(self.network, 2, CALLERS_PORT)
+    }
+
+    /// Sends a call to operators' and upstreams' address.
+    pub async fn control(&self, call: Call) -> Result<Answer, Report<HttpError>> {
+        send(at(self.network, 1, OPERATORS_PORT), call).await
+    }
+
+    pub async fn configure(&self, document: &Value) -> u16 {
+        let call = Call::post("/v1/config/replace", document.to_string());
+        self.control(call).await.map_or(0, |a| a.status.as_u16())
+    }
+
+    /// Configures until it is acknowledged, and waits until the gateway serves.
+    pub async fn configure_first(&self, document: &Value) {
+        wait_for("the configuration is acknowledged", READY, async || {
+            self.configure(document).await == 200
+        })
+        .await;
+        wait_for("the gateway is ready", READY, async || {
+            self.readiness().await == 200
+        })
+        .await;
+    }
+
+    pub async fn readiness(&self) -> u16 {
+        let address = at(self.network, 2, READINESS_PORT);
+        let answer = send(address, Call::get("/v1/ready")).await;
+        answer.map_or(0, |a| a.status.as_u16())
+    }
+
+    /// Sends a caller's request.
+    pub async fn request(&self, call: Call) -> Result<Answer, Report<HttpError>> {
+        let call = call.header("host", "one.example");
+        send(self.callers(), call).await
+    }
+
+    /// Stops the replica, as a crash of the control host.
+    pub fn stop_directory(&mut self) {
+        if let Some(directory) = self.directory.take() {
+            directory.stop();
+        }
+    }
+}
+
+fn at(network: u8, host: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 77, network, host], port))
+}
+
+/// A request of a caller with an id and a deadline.
+pub fn get(path: &str, id: &str, deadline_ms: u64) -> Call {
+    Call::get(path)
+        .header("carobreel-request-id", id)
+        .header("carobreel-deadline-ms", &deadline_ms.to_string())
+}
+
+/// A request that may run once.
+pub fn post(path: &str, id: &str, deadline_ms: u64) -> Call {
+    let mut call = get(path, id, deadline_ms);
+    call.method = hyper::Method::POST;
+    call.body = bytes::Bytes::from_static(b"a filing");
+    call
+}
+
+/// Returns a document with a repeatable route, one that may run once, and one divided by key.
+pub fn document(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "hostname": "one.example", "pathPrefix": format!("/{name}/"),
+            "kind": kind, "timeout": "1500ms", "targetLatency": "400ms", "priority": 1,
+            "service": service, "maxAttempts": 2,
+        })
+    };
+    json!({
+        "version": format!("r{version}"),
+        "routes": [
+            route("read", "idempotent", "files"),
+            route("file", "non_idempotent", "files"),
+            route("maps", "idempotent", "maps"),
+        ],
+        "services": [
+            { "name": "files", "healthPath": "/health", "maxConnections": 50 },
+            { "name": "maps", "healthPath": "/health", "maxConnections": 50, "sharded": true },
+        ],
+        "limits": { "maxBodyBytes": 4096, "idleTimeout": "15000ms" },
+    })
+}
+
+/// Waits for a state.
+pub async fn wait_for(what: &str, patience: Duration, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + patience;
+    while !holds().await {
+        assert!(Instant::now() < end, "not within {patience:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
