--- a/src/cmd/directory.rs
+++ b/src/cmd/directory.rs
@@ -1,11 +1,11 @@
 //! Runs a replica of the directory on a host with a disk of the platform.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 
 use carobreel::directory::daemon::{Directory, Settings};
 use carobreel::keys;
+use carobreel::lock::lock;
 use carobreel::platform::api;
 use carobreel::platform::keys::KeyClient;
 use tokio::net::TcpListener;
@@ -42,7 +42,7 @@
             address: host.peer_address,
             seeds: seeds.clone(),
             first_start: host.first_start,
-            data_folder: PathBuf::from(data_folder),
+            data_folder,
             hold_ms: host.hold_ms,
             voters: 2 * host.losses_tolerated as usize + 1,
         };
@@ -56,14 +56,8 @@
             .map_err(|e| failed(format!("can't listen on {operators}: {e}")))?;
         let router = api::router(directory.handle(), recorder.clone());
         let serving = tokio::spawn(async move { axum::serve(listener, router).await });
-        loop {
-            match started.file.wake(&recorder).await? {
-                Wake::Settings(changed) => match seeds.lock() {
-                    Ok(mut seeds) => *seeds = changed.seeds,
-                    Err(poisoned) => *poisoned.into_inner() = changed.seeds,
-                },
-                Wake::Stop => break,
-            }
+        while let Wake::Settings(changed) = started.file.wake(&recorder).await? {
+            *lock(&seeds) = changed.seeds;
         }
         serving.abort();
         directory.stop();
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -34,11 +34,8 @@
         let settings = started.settings;
         let spawned = Gateway::spawn(&settings, &tls, Headers, started.clock, recorder.clone());
         let gateway = spawned.await.map_err(|e| failed(e.to_string()))?;
-        loop {
-            match started.file.wake(&recorder).await? {
-                Wake::Settings(settings) => gateway.set_seeds(settings.seeds),
-                Wake::Stop => break,
-            }
+        while let Wake::Settings(changed) = started.file.wake(&recorder).await? {
+            gateway.set_seeds(changed.seeds);
         }
         gateway.stop(Duration::from_millis(settings.grace_ms)).await;
         Ok(())
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -17,14 +17,16 @@
 use crate::clock::{Clock, Mono};
 use crate::event::{Event, Recorder};
 use crate::keys::Tls;
+use crate::lock::lock;
 use crate::raft::{Log, Message, ReplicaId, Timing};
 use crate::storage::{Storage, StorageError};
-use crate::transport::{Channel, Endpoint, Incoming, TransportError};
+use crate::transport::{Endpoint, Incoming};
 use crate::wire::{RaftBatch, Request, Response};
 
 use super::ask::{Ask, Reply};
 use super::lessor::{Call, CallResult};
 use super::membership::{founder_id, founding};
+use super::peers::Peers;
 use super::replica::{Output, Replica, Start, LOG_NAME};
 
 /// Between two looks at the clock.
@@ -35,10 +37,6 @@
 const ELECTION_MS: u64 = 600;
 /// Requests that may wait for the replica's thread.
 const QUEUE_MAX: usize = 4_096;
-/// Batches that may wait for a peer; more are dropped, and the log sends them again.
-const PEER_QUEUE_MAX: usize = 64;
-/// A batch that isn't sent after this long is dropped.
-const SEND_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The leader's answer is awaited this long.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
 /// A failed data folder is opened again after this long.
@@ -170,14 +168,15 @@
                     }
                 };
                 let _ = ready.send(Ok(()));
+                let own = settings.address.to_string();
                 let host = Host {
+                    peers: Peers::new(own, endpoint.clone()),
                     settings,
                     endpoint,
                     recorder,
                     clock,
                     tx,
                     calls: Arc::new(calls),
-                    peers: BTreeMap::new(),
                     hosts: BTreeMap::new(),
                 };
                 host.run(rx, stopped).await;
@@ -218,7 +217,7 @@
     clock: Clock,
     tx: mpsc::Sender<Input>,
     calls: Arc<C>,
-    peers: BTreeMap<String, mpsc::Sender<RaftBatch>>,
+    peers: Peers,
     /// Where replicas write from; one that was just taken in knows no membership yet.
     hosts: BTreeMap<ReplicaId, String>,
 }
@@ -307,10 +306,7 @@
     }
 
     fn seeds(&self) -> Vec<SocketAddr> {
-        match self.settings.seeds.lock() {
-            Ok(seeds) => seeds.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        }
+        lock(&self.settings.seeds).clone()
     }
 
     async fn drive(
@@ -459,7 +455,7 @@
             }
         }
         for (host, messages) in by_host {
-            self.send(host, messages);
+            self.peers.send(&host, messages);
         }
         for call in output.calls {
             let calls = self.calls.clone();
@@ -471,55 +467,6 @@
             });
         }
     }
-
-    fn send(&mut self, host: String, messages: Vec<Message>) {
-        let endpoint = self.endpoint.clone();
-        let peer = host.clone();
-        let queue = self.peers.entry(host).or_insert_with(|| {
-            let (tx, mut rx) = mpsc::channel::<RaftBatch>(PEER_QUEUE_MAX);
-            tokio::spawn(async move {
-                let mut channel = None;
-                while let Some(mut batch) = rx.recv().await {
-                    while let Ok(next) = rx.try_recv() {
-                        batch.messages.extend(next.messages);
-                    }
-                    channel = send_batch(&endpoint, &peer, channel, batch).await;
-                }
-            });
-            tx
-        });
-        let batch = RaftBatch {
-            cell: LOG_NAME.to_string(),
-            host: self.settings.address.to_string(),
-            messages,
-        };
-        let _ = queue.try_send(batch);
-    }
-}
-
-/// Sends a batch and returns the channel, unless it failed. A lost batch is sent again by the log's
-/// own heartbeats.
-async fn send_batch(
-    endpoint: &Endpoint,
-    peer: &str,
-    open: Option<Channel>,
-    batch: RaftBatch,
-) -> Option<Channel> {
-    let sending = async {
-        let mut channel = match open {
-            Some(channel) => channel,
-            None => endpoint.channel(peer).await?,
-        };
-        channel.send(Request::Raft(batch)).await?;
-        Ok::<_, Report<TransportError>>(channel)
-    };
-    match tokio::time::timeout(SEND_TIMEOUT, sending).await {
-        Ok(Ok(channel)) => Some(channel),
-        Ok(Err(_)) | Err(_) => {
-            endpoint.forget(peer);
-            None
-        }
-    }
 }
 
 #[derive(Clone)]
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -5,8 +5,10 @@
 pub mod ask;
 pub mod balance;
 pub mod daemon;
+mod describe;
 pub mod lessor;
 pub mod membership;
 pub mod model;
+mod peers;
 pub mod replica;
 pub mod state;
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -4,6 +4,8 @@
 //! Time, messages and results of calls are inputs; what is to be sent comes back as [`Output`]. The
 //! only effect is on the [`Store`], which is written before anything that depends on it is returned.
 
+mod lead;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use error_stack::Report;
@@ -16,6 +18,7 @@
 use crate::storage::StorageError;
 
 use super::ask::{Ask, Reply, Update};
+use super::describe;
 use super::lessor::{Call, CallResult, Lessor};
 use super::membership::Roster;
 use super::state::{Command, State};
@@ -330,7 +333,9 @@
         self.applied = entry.index;
         if let Payload::Command(bytes) = &entry.payload {
             let command: Command = postcard::from_bytes(bytes).expect("committed commands decode");
-            self.note(&command);
+            let leads = self.lead.is_some();
+            let event = describe::event_of(&self.state, &command, leads);
+            self.output.events.extend(event);
             self.state.apply(entry.index, command);
         }
         if let Payload::Membership(m) = &entry.payload {
@@ -354,40 +359,6 @@
         self.output.replies.push((token, reply));
     }
 
-    fn note(&mut self, command: &Command) {
-        let event = match command {
-            Command::Configure(stored) if stored.config.version > self.state.config_version() => {
-                Event::RoutesDecided {
-                    version: stored.config.version,
-                    routes: stored.config.routes.len() as u64,
-                }
-            }
-            Command::Register(u) => Event::UpstreamRegistered {
-                upstream: u.incarnation.id.clone(),
-                born_ms: u.incarnation.born_ms,
-                service: u.service.clone(),
-                phase: format!("{:?}", u.phase),
-            },
-            Command::Deregister(who) => Event::UpstreamDeregistered {
-                upstream: who.id.clone(),
-            },
-            Command::Assign {
-                service,
-                from,
-                to,
-                owner,
-            } if self.lead.is_some() => Event::KeysAssigned {
-                service: service.clone(),
-                from: *from,
-                to: *to,
-                owner: owner.id.clone(),
-                fence: self.state.versions.owners + 1,
-            },
-            _ => return,
-        };
-        self.output.events.push(event);
-    }
-
     fn follow_leadership(&mut self) {
         let leads = self.raft.is_caught_up_leader();
         let term = self.raft.term();
@@ -435,108 +406,6 @@
         }
     }
 
-    /// Works out until when no other replica can have been elected: a majority answered a heartbeat
-    /// and gives no vote for the election interval from then on.
-    fn extend_lease(&mut self, now: Mono) {
-        let round = self.raft.current_round().unwrap_or(0);
-        let confirmed = self.raft.confirmed_round().unwrap_or(0);
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        if lead.rounds.back().is_none_or(|(newest, _)| *newest < round) {
-            lead.rounds.push_back((round, now));
-        }
-        while let Some((begun, at)) = lead.rounds.front().copied() {
-            if begun > confirmed {
-                break;
-            }
-            let until = at.plus(self.timing.election_ms - LEASE_MARGIN_MS);
-            lead.lease_until = lead.lease_until.max(until);
-            lead.rounds.pop_front();
-        }
-    }
-
-    fn lend(&mut self, now: Mono) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        if now.since(lead.lent_at) < LEND_EVERY_MS || lead.lend_pending > self.applied {
-            return;
-        }
-        lead.lent_at = now;
-        let may_call = now < lead.lease_until;
-        let step = lead.lessor.step(&self.state, now, may_call);
-        self.output.calls.extend(step.calls);
-        self.output.calls_until = lead.lease_until;
-        let mut commands = step.commands;
-        let is_lost = |id: &String| {
-            let heard_at = lead.heard.get(id).copied().unwrap_or(now);
-            now.since(heard_at) > FORGET_AFTER_MS
-        };
-        let lost: Vec<_> = self
-            .state
-            .upstreams
-            .values()
-            .filter(|u| is_lost(&u.incarnation.id))
-            .map(|u| u.incarnation.clone())
-            .collect();
-        if !lost.is_empty() {
-            commands.push(Command::Forget(lost));
-        }
-        for command in commands {
-            let payload = Payload::Command(encode(&command));
-            match self.raft.propose(payload, now) {
-                Ok(index) => lead.lend_pending = index,
-                Err(_) => break,
-            }
-        }
-    }
-
-    fn manage_members(&mut self, now: Mono) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let Some(next) = lead.roster.next(&self.raft, now) else {
-            return;
-        };
-        // Refused while an earlier change isn't committed; the next step proposes it again.
-        let _ = self.raft.propose(Payload::Membership(next), now);
-    }
-
-    fn answer(&mut self, now: Mono) {
-        let confirmed = self.raft.confirmed_round().unwrap_or(0);
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        lead.followers
-            .retain(|_, at| now.since(*at) < FOLLOWER_GONE_MS);
-        let is_sure = now < lead.lease_until;
-        for w in std::mem::take(&mut lead.waiting) {
-            let due = match &w.ask {
-                Ask::Follow { have, .. } => {
-                    is_sure && (*have != self.state.versions || now >= w.answer_at)
-                }
-                _ => w.round <= confirmed,
-            };
-            if !due {
-                lead.waiting.push_back(w);
-                continue;
-            }
-            let reply = match &w.ask {
-                Ask::Follow { have, .. } => {
-                    let replicas = self.raft.membership().replicas();
-                    Reply::Update(Box::new(Update {
-                        replicas: replicas.map(|(_, host)| host.clone()).collect(),
-                        entry_hosts: lead.followers.len() as u32,
-                        ..self.state.update_since(*have)
-                    }))
-                }
-                _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
-            };
-            self.output.replies.push((w.token, reply));
-        }
-    }
-
     fn compact(&mut self) -> Result<(), Report<StorageError>> {
         if !self.store.wants_snapshot() {
             return Ok(());
--- /dev/null
+++ b/src/directory/replica/lead.rs
@@ -0,0 +1,107 @@
+//! What a replica does while it leads: its lease, grants, members, and answers.
+
+use super::*;
+
+impl<S: Store, T> Replica<S, T> {
+    /// Works out until when no other replica can have been elected: a majority answered a heartbeat
+    /// and gives no vote for the election interval from then on.
+    pub(super) fn extend_lease(&mut self, now: Mono) {
+        let round = self.raft.current_round().unwrap_or(0);
+        let confirmed = self.raft.confirmed_round().unwrap_or(0);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if lead.rounds.back().is_none_or(|(newest, _)| *newest < round) {
+            lead.rounds.push_back((round, now));
+        }
+        while let Some((begun, at)) = lead.rounds.front().copied() {
+            if begun > confirmed {
+                break;
+            }
+            let until = at.plus(self.timing.election_ms - LEASE_MARGIN_MS);
+            lead.lease_until = lead.lease_until.max(until);
+            lead.rounds.pop_front();
+        }
+    }
+
+    pub(super) fn lend(&mut self, now: Mono) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if now.since(lead.lent_at) < LEND_EVERY_MS || lead.lend_pending > self.applied {
+            return;
+        }
+        lead.lent_at = now;
+        let may_call = now < lead.lease_until;
+        let step = lead.lessor.step(&self.state, now, may_call);
+        self.output.calls.extend(step.calls);
+        self.output.calls_until = lead.lease_until;
+        let mut commands = step.commands;
+        let is_lost = |id: &String| {
+            let heard_at = lead.heard.get(id).copied().unwrap_or(now);
+            now.since(heard_at) > FORGET_AFTER_MS
+        };
+        let lost: Vec<_> = self
+            .state
+            .upstreams
+            .values()
+            .filter(|u| is_lost(&u.incarnation.id))
+            .map(|u| u.incarnation.clone())
+            .collect();
+        if !lost.is_empty() {
+            commands.push(Command::Forget(lost));
+        }
+        for command in commands {
+            let payload = Payload::Command(encode(&command));
+            match self.raft.propose(payload, now) {
+                Ok(index) => lead.lend_pending = index,
+                Err(_) => break,
+            }
+        }
+    }
+
+    pub(super) fn manage_members(&mut self, now: Mono) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(next) = lead.roster.next(&self.raft, now) else {
+            return;
+        };
+        // Refused while an earlier change isn't committed; the next step proposes it again.
+        let _ = self.raft.propose(Payload::Membership(next), now);
+    }
+
+    pub(super) fn answer(&mut self, now: Mono) {
+        let confirmed = self.raft.confirmed_round().unwrap_or(0);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.followers
+            .retain(|_, at| now.since(*at) < FOLLOWER_GONE_MS);
+        let is_sure = now < lead.lease_until;
+        for w in std::mem::take(&mut lead.waiting) {
+            let due = match &w.ask {
+                Ask::Follow { have, .. } => {
+                    is_sure && (*have != self.state.versions || now >= w.answer_at)
+                }
+                _ => w.round <= confirmed,
+            };
+            if !due {
+                lead.waiting.push_back(w);
+                continue;
+            }
+            let reply = match &w.ask {
+                Ask::Follow { have, .. } => {
+                    let replicas = self.raft.membership().replicas();
+                    Reply::Update(Box::new(Update {
+                        replicas: replicas.map(|(_, host)| host.clone()).collect(),
+                        entry_hosts: lead.followers.len() as u32,
+                        ..self.state.update_since(*have)
+                    }))
+                }
+                _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
+            };
+            self.output.replies.push((w.token, reply));
+        }
+    }
+}
--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 
 use crate::clock::Mono;
+use crate::lock::lock;
 
 /// Retries that may be saved up.
 const RETRIES_SAVED_MAX: f64 = 50.0;
@@ -106,10 +107,3 @@
         Ok(wait_ms)
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    match mutex.lock() {
-        Ok(guard) => guard,
-        Err(poisoned) => poisoned.into_inner(),
-    }
-}
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -27,6 +27,12 @@
 const HEAD_BYTES: u64 = 512;
 /// The least time that a host has for its answer before another one is asked, in milliseconds.
 const TRY_MS_MIN: u64 = 1_000;
+/// A forwarded request without an answer for this long makes its host be asked whether it lives.
+const PING_AFTER: Duration = Duration::from_millis(250);
+/// Between two such questions.
+const PING_EVERY: Duration = Duration::from_millis(1_000);
+/// How long the host has to answer them: several round trips between regions.
+const PING_TIMEOUT: Duration = Duration::from_millis(400);
 /// A host that didn't answer is asked last for this long, in milliseconds.
 const DOWN_MS: u64 = 3_000;
 const REGION_RETRY_MS: u64 = 1_000;
@@ -147,7 +153,10 @@
             let answer = answer.map_err(|_| Sent::Maybe)?;
             Ok((answer, rx))
         };
-        let exchanged = tokio::time::timeout(patience, exchange).await;
+        let exchanged = tokio::select! {
+            exchanged = tokio::time::timeout(patience, exchange) => exchanged,
+            _ = self.wait_until_silent(host) => return Err(Sent::Late),
+        };
         let Ok(exchanged) = exchanged else {
             return Err(Sent::Late);
         };
@@ -162,6 +171,19 @@
         Ok(Outcome::Answered(response))
     }
 
+    /// Returns once a host doesn't answer: an open connection to one that was killed shows nothing.
+    async fn wait_until_silent(&self, host: &str) {
+        let mut pause = PING_AFTER;
+        loop {
+            tokio::time::sleep(pause).await;
+            let ping = self.endpoint.call(host, Request::Ping, PING_TIMEOUT);
+            if ping.await.is_err() {
+                return;
+            }
+            pause = PING_EVERY;
+        }
+    }
+
     fn read_forward(&self, forward: wire::Forward) -> Option<CallerRequest> {
         let method: Method = forward.method.parse().ok()?;
         let target = target(&forward.path);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -22,6 +22,7 @@
 use crate::event::{Event, Recorder};
 use crate::host::HostSettings;
 use crate::keys::Tls;
+use crate::lock::lock;
 use crate::transport::Endpoint;
 
 use super::follow::{Follower, KeyCounter};
@@ -144,10 +145,7 @@
 
     /// Replaces the hosts through which the directory is found.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
-        match self.seeds.lock() {
-            Ok(mut current) => *current = seeds,
-            Err(poisoned) => *poisoned.into_inner() = seeds,
-        }
+        *lock(&self.seeds) = seeds;
     }
 
     /// Ends in order: not ready at once, then no new connections, then the end of what is in flight.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -11,6 +11,7 @@
 use crate::directory::ask::{Ask, KeyCounts, Reply, Update};
 use crate::directory::model::Key;
 use crate::event::{Event, Recorder};
+use crate::lock::lock;
 use crate::transport::Endpoint;
 use crate::wire::{Request, Response};
 
@@ -35,7 +36,7 @@
 impl KeyCounter {
     /// Counts a request.
     pub fn note(&self, service: &str, key: Key) {
-        let mut counts = self.lock();
+        let mut counts = lock(&self.counts);
         if !counts.contains_key(service) {
             counts.insert(service.to_string(), BTreeMap::new());
         }
@@ -45,20 +46,13 @@
     }
 
     fn take(&self) -> Vec<KeyCounts> {
-        let counts = std::mem::take(&mut *self.lock());
+        let counts = std::mem::take(&mut *lock(&self.counts));
         let report = |(service, keys): (String, BTreeMap<Key, u32>)| KeyCounts {
             service,
             counts: keys.into_iter().collect(),
         };
         counts.into_iter().map(report).collect()
     }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, BTreeMap<Key, u32>>> {
-        match self.counts.lock() {
-            Ok(counts) => counts,
-            Err(poisoned) => poisoned.into_inner(),
-        }
-    }
 }
 
 /// Follows the directory's leader.
@@ -120,10 +114,7 @@
     /// Asks the processes that may know the leader, one after the other.
     async fn search(&self) -> Found {
         let mut hosts = self.view.borrow().replicas.clone();
-        let seeds = match self.seeds.lock() {
-            Ok(seeds) => seeds.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        };
+        let seeds = lock(&self.seeds).clone();
         for seed in seeds {
             let seed = seed.to_string();
             if !hosts.contains(&seed) {
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -9,6 +9,7 @@
 use crate::directory::ask::UpstreamSpeed;
 use crate::directory::model::{Incarnation, Upstream};
 use crate::entry::pool::Pool;
+use crate::lock::lock;
 
 use super::balance::LoadView;
 use super::view::View;
@@ -198,10 +199,3 @@
         by_id.retain(|id, _| view.upstreams().any(|u| u.incarnation.id == *id));
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    match mutex.lock() {
-        Ok(guard) => guard,
-        Err(poisoned) => poisoned.into_inner(),
-    }
-}
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 use crate::directory::model::{Key, Repeat, Route, Upstream};
 use crate::entry::request::strip_hop_by_hop;
 use crate::event::{Event, Recorder};
+use crate::lock::lock;
 
 use super::attempt::{Attempt, Exchange, Sent};
 use super::balance::{admit, choose, TimeLeft};
@@ -428,13 +429,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    match mutex.lock() {
-        Ok(guard) => guard,
-        Err(poisoned) => poisoned.into_inner(),
-    }
-}
-
 fn text(id: &Option<HeaderValue>) -> String {
     let id = id.as_ref().and_then(|v| v.to_str().ok());
     id.unwrap_or("-").to_string()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod keys;
 pub mod lab;
 pub mod load;
+pub mod lock;
 pub mod metrics;
 pub mod platform;
 pub mod raft;
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -12,6 +12,7 @@
 use crate::directory::daemon::KeyCalls;
 use crate::directory::lessor::{Call, CallResult, Order};
 use crate::http::{Answer, Client};
+use crate::lock::lock;
 
 use super::headers::ONLY_UPSTREAM;
 
@@ -37,16 +38,9 @@
     }
 
     fn take(&self, address: SocketAddr) -> Client {
-        let open = self.idle().get_mut(&address).and_then(Vec::pop);
+        let open = lock(&self.idle).get_mut(&address).and_then(Vec::pop);
         open.unwrap_or_else(|| Client::resetting(address))
     }
-
-    fn idle(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Client>>> {
-        match self.idle.lock() {
-            Ok(idle) => idle,
-            Err(poisoned) => poisoned.into_inner(),
-        }
-    }
 }
 
 impl KeyCalls for KeyClient {
@@ -59,7 +53,10 @@
         let request = request(&call).timeout(Duration::from_millis(call.timeout_ms));
         match client.send(request).await {
             Ok(answer) => {
-                self.idle().entry(call.address).or_default().push(client);
+                lock(&self.idle)
+                    .entry(call.address)
+                    .or_default()
+                    .push(client);
                 result(&answer)
             }
             // The failure is logged with the result, where its consequences are decided.
