--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use carobreel::document::Document;
+use carobreel::host::HostSettings;
 use carobreel::schema::{Faults, Kind};
 use carobreel::settings::{read_text, Deployment, Process};
 use serde::Serialize;
@@ -56,34 +57,39 @@
 fn check(file: &Path, output: Output) -> CliResult<bool> {
     let faults = match check_file(file) {
         Ok(()) => Vec::new(),
-        Err(faults) => faults.0,
+        Err(faults) => faults,
     };
     output.value(&Report {
         file,
-        faults: faults.iter().map(|f| f.to_string()).collect(),
+        faults: faults.clone(),
     })?;
     if faults.is_empty() {
         output.line(format!("{}: {}", file.display(), mark("fine", true)))?;
     }
     for fault in &faults {
-        output.line(format!(
-            "{}: {}",
-            file.display(),
-            mark(&fault.to_string(), false)
-        ))?;
+        output.line(format!("{}: {}", file.display(), mark(fault, false)))?;
     }
     Ok(faults.is_empty())
 }
 
-fn check_file(file: &Path) -> Result<(), Faults> {
-    let text = read_text(file)?;
+fn check_file(file: &Path) -> Result<(), Vec<String>> {
+    let text = read_text(file).map_err(texts)?;
     let value = serde_json::from_str(&text).unwrap_or(serde_json::Value::Null);
-    match Kind::guess(&value) {
+    if value.get("peer_address").is_some() && value.get("seeds").is_some() {
+        return HostSettings::parse(&text)
+            .map(|_| ())
+            .map_err(|faults| faults.0);
+    }
+    let checked = match Kind::guess(&value) {
         Kind::Deployment => Deployment::parse(&text).map(|_| ()),
         Kind::Document => Document::parse(&text).map(|_| ()),
-        Kind::Process => {
-            let process = Process::read(file)?;
-            Deployment::read(&process.deployment).map(|_| ())
-        }
-    }
+        Kind::Process => Process::read(file)
+            .and_then(|process| Deployment::read(&process.deployment))
+            .map(|_| ()),
+    };
+    checked.map_err(texts)
+}
+
+fn texts(faults: Faults) -> Vec<String> {
+    faults.0.iter().map(|f| f.to_string()).collect()
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -26,6 +26,7 @@
 use crate::transport::Endpoint;
 
 use super::follow::{Follower, KeyCounter};
+use super::journal::RequestJournal;
 use super::peer::Peers;
 use super::protocol::Protocol;
 use super::proxy::{Inner, Proxy};
@@ -124,7 +125,7 @@
             answer_kib: Mutex::default(),
             closing: AtomicBool::new(false),
             clock,
-            recorder: recorder.clone(),
+            journal: RequestJournal::new(recorder.clone()),
         });
         let stopping = Arc::new(AtomicBool::new(false));
         let front = listen(callers).await?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod balance;
 pub mod daemon;
 pub mod follow;
+pub mod journal;
 pub mod peer;
 pub mod protocol;
 pub mod proxy;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -17,12 +17,13 @@
 use crate::clock::{Clock, Mono};
 use crate::directory::model::{Key, Repeat, Route, Upstream};
 use crate::entry::request::strip_hop_by_hop;
-use crate::event::{Event, Recorder};
+use crate::event::Event;
 use crate::lock::lock;
 
 use super::attempt::{Attempt, Exchange, Sent};
 use super::balance::{admit, choose, TimeLeft};
 use super::follow::KeyCounter;
+use super::journal::RequestJournal;
 use super::peer::{Peer, Peers};
 use super::protocol::{CallerFacts, Protocol};
 use super::retry::RetryBudget;
@@ -85,8 +86,8 @@
     pub closing: AtomicBool,
     /// Time.
     pub clock: Clock,
-    /// Events.
-    pub recorder: Recorder,
+    /// Lines about requests.
+    pub journal: RequestJournal,
 }
 
 /// A request whose body is complete.
@@ -402,20 +403,22 @@
         sent: Sent,
         began: Mono,
     ) {
-        self.inner.recorder.record(Event::AttemptFailed {
+        let now = self.inner.clock.now();
+        let event = Event::AttemptFailed {
             request: text(&call.facts.id),
             upstream: peer.incarnation.id.clone(),
             reason: reason.to_string(),
             sent: sent == Sent::MayHaveRun,
-            waited_ms: self.inner.clock.now().since(began),
-        });
+            waited_ms: now.since(began),
+        };
+        self.inner.journal.record(event, now);
     }
 
     fn note_failure(&self, call: &Call<'_>, failure: &Failure, tried: &[Arc<Peer>]) {
         let now = self.inner.clock.now();
         let view = self.inner.view.borrow().clone();
         let ids: Vec<&str> = tried.iter().map(|p| p.incarnation.id.as_str()).collect();
-        self.inner.recorder.record(Event::RequestFailed {
+        let event = Event::RequestFailed {
             request: text(&call.facts.id),
             route: call.route.name.clone(),
             service: call.service.to_string(),
@@ -425,7 +428,8 @@
             waited_ms: now.since(call.began),
             config: view.versions.config,
             age_ms: now.since(view.confirmed_at),
-        });
+        };
+        self.inner.journal.record(event, now);
     }
 }
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -64,8 +64,20 @@
     );
     assert_eq!(dir.run(&["load", "--rate", "0"]).status.code(), Some(2));
     for command in [
-        "apply", "check", "demo", "explain", "keys", "load", "plan", "slopes", "standin", "status",
-        "timeline", "watch",
+        "apply",
+        "check",
+        "demo",
+        "directory",
+        "explain",
+        "gateway",
+        "keys",
+        "load",
+        "plan",
+        "slopes",
+        "standin",
+        "status",
+        "timeline",
+        "watch",
     ] {
         let text = dir.stdout(&[command, "--help"]);
         assert!(text.contains("Usage: carobreel"), "{command}: {text}");
@@ -86,6 +98,24 @@
     }
 }
 
+#[test]
+fn a_platform_host_s_settings_are_checked_with_every_fault() {
+    let dir = Workdir::new();
+    let fine = r#"{"host": "e1", "zone": "a", "zones": {"a": "north"}, "new_field": 1,
+        "peer_address": "10.0.0.1:7540", "callers": "10.0.0.1:80", "seeds": ["10.0.0.9:8080"]}"#;
+    dir.create("fine.json", fine);
+    let text = dir.stdout(&["check", "fine.json"]);
+    assert!(text.ends_with("fine\n"), "{text}");
+    let faulty = fine
+        .replace("\"e1\"", "\"\"")
+        .replace("10.0.0.9:8080", "nowhere");
+    dir.create("faulty.json", &faulty);
+    let output = dir.run(&["check", "faulty.json"]);
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("host:") && text.contains("seeds:"), "{text}");
+}
+
 #[test]
 fn demo_breaks_no_promise() {
     let dir = Workdir::new();
