Give up a silent connection only where a caller of the directory does; ask hosts that were reached

Ruled out: the log's changes, the clock.

Change: followers and directory processes drop a connection that timed out; a forward asks a silent host only once its request is there.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -400,7 +400,11 @@
             let reply = match endpoint.call(&leader, request, FORWARD_TIMEOUT).await {
                 Ok(Response::Directory(reply)) => reply,
                 // The caller asks again, here or elsewhere; every request bears that.
-                Ok(_) | Err(_) => Reply::NotLeader(None),
+                Ok(_) => Reply::NotLeader(None),
+                Err(_) => {
+                    endpoint.forget(&leader);
+                    Reply::NotLeader(None)
+                }
             };
             let _ = tx.send(reply);
         });
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -149,14 +149,14 @@
                 .endpoint
                 .open(host, Request::Forward(Box::new(forward)));
             let (_tx, mut rx) = opened.await.map_err(|e| sent(*e.current_context()))?;
-            let answer = self.endpoint.read_answer(&mut rx).await;
+            let answer = tokio::select! {
+                answer = self.endpoint.read_answer(&mut rx) => answer,
+                _ = self.wait_until_silent(host) => return Err(Sent::Late),
+            };
             let answer = answer.map_err(|_| Sent::Maybe)?;
             Ok((answer, rx))
         };
-        let exchanged = tokio::select! {
-            exchanged = tokio::time::timeout(patience, exchange) => exchanged,
-            _ = self.wait_until_silent(host) => return Err(Sent::Late),
-        };
+        let exchanged = tokio::time::timeout(patience, exchange).await;
         let Ok(exchanged) = exchanged else {
             return Err(Sent::Late);
         };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -195,6 +195,10 @@
     match endpoint.call(&host, request, ANSWER_TIMEOUT).await {
         Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update),
         Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => Found::Elsewhere(leader),
-        Ok(_) | Err(_) => Found::Nothing,
+        Ok(_) => Found::Nothing,
+        Err(_) => {
+            endpoint.forget(&host);
+            Found::Nothing
+        }
     }
 }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -161,14 +161,12 @@
         let answer = tokio::time::timeout(timeout, exchange).await;
         match answer {
             Ok(result) => result,
-            Err(_) => {
-                self.forget(host);
-                Err(Report::new(TransportError::Timeout))
-            }
+            Err(_) => Err(Report::new(TransportError::Timeout)),
         }
     }
 
-    /// Gives up the open connection to a host, which may have gone silent.
+    /// Gives up the open connection to a host, which may have gone silent; the next request opens a
+    /// new one.
     pub fn forget(&self, host: &str) {
         self.connections().remove(host);
     }
