--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -30,7 +30,7 @@
 use super::replica::{Output, Replica, Start, LOG_NAME};
 
 /// Between two looks at the clock.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(25);
 /// Between two heartbeats of a leader, in milliseconds.
 const HEARTBEAT_MS: u64 = 100;
 /// The shortest silence before an election, in milliseconds: several round trips between regions.
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -30,7 +30,7 @@
 /// The lease of a leader ends this much before a successor can be elected, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 150;
 /// Between two looks at what is to be granted, in milliseconds.
-const LEND_EVERY_MS: u64 = 20;
+const LEND_EVERY_MS: u64 = 40;
 /// An entry host that hasn't asked for this long isn't counted, in milliseconds.
 const FOLLOWER_GONE_MS: u64 = 3_000;
 /// An upstream that hasn't been heard of for this long is forgotten, in milliseconds.
