--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -17,7 +17,7 @@
 use super::model::{parts_outside, Incarnation, Key, KeyRange, KeyTable, Phase};
 use super::state::{Command, State};
 
-/// Two services' ranges in this module are told apart by name.
+/// A granted range: its service, its fencing token and its first key.
 type Place = (String, u64, Key);
 
 /// Renewals go out this many times while a grant lasts, so that one may be lost.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -347,3 +347,60 @@
         .expect("it ends within its grace")
         .unwrap();
 }
+
+#[tokio::test]
+async fn chunked_bodies_and_kept_connections_are_served() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let (bed, one, other) = two(15).await;
+    let mut stream = tokio::net::TcpStream::connect(bed.callers()).await.unwrap();
+    for n in 0..3 {
+        let head = format!(
+            "POST /file/x HTTP/1.1\r\nhost: one.example\r\ncarobreel-request-id: c{n}\r\n\
+             carobreel-deadline-ms: 1200\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for part in ["4\r\nwhol\r\n", "4\r\ne on\r\n", "1\r\ne\r\n", "0\r\n\r\n"] {
+            stream.write_all(part.as_bytes()).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut text = String::new();
+        let mut buf = [0; 2_048];
+        while !text.ends_with(&"x".repeat(400)) {
+            let read = stream.read(&mut buf).await.unwrap();
+            assert!(read > 0, "closed after {text}");
+            text.push_str(&String::from_utf8_lossy(&buf[..read]));
+        }
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    }
+    let heads = |u: &Upstream| u.seen.lock().unwrap().heads.clone();
+    let all = [heads(&one), heads(&other)].concat();
+    let of_these: Vec<&String> = all.iter().filter(|h| h.contains("-id: c")).collect();
+    assert_eq!(of_these.len(), 3);
+    assert!(
+        of_these.iter().all(|h| h.contains("content-length: 9")),
+        "{of_these:?}"
+    );
+}
+
+#[tokio::test]
+async fn hundreds_of_routes_and_changes_come_into_force() {
+    let (bed, _one, _other) = two(16).await;
+    for version in 2..120 {
+        let mut large = document(version);
+        let routes = large["routes"].as_array_mut().unwrap();
+        let model = routes[0].clone();
+        for n in 0..300 {
+            let mut route = model.clone();
+            route["name"] = json!(format!("extra{n}"));
+            route["pathPrefix"] = json!(format!("/extra{version}-{n}/"));
+            routes.push(route);
+        }
+        assert_eq!(bed.configure(&large).await, 200);
+    }
+    wait_for("the last one is in force", IN_FORCE, async || {
+        let last = bed.request(get("/extra119-299/x", "1", 900)).await;
+        let former = bed.request(get("/extra118-0/x", "2", 900)).await;
+        last.is_ok_and(|a| a.status == 200) && former.is_ok_and(|a| a.status == 404)
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/hosts.rs
@@ -0,0 +1,130 @@
+//! The platform's two programs as processes: settings that change, signals, and a disk that lasts.
+
+mod workdir;
+
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use carobreel::http::Call;
+use serde_json::json;
+use workdir::{send, wait_for, Workdir};
+
+const READY: Duration = Duration::from_secs(30);
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Writes a host's settings; the last byte of its address is `n`.
+fn settings(dir: &Workdir, name: &str, n: u8, seeds: &[u8], first_start: bool) {
+    let at = |host: u8, port: u16| format!("127.78.0.{host}:{port}");
+    let is_entry = n > 100;
+    let mut text = json!({
+        "host": name, "zone": "a", "zones": { "a": "north" }, "peer_address": at(n, 21_800),
+        "seeds": seeds.iter().map(|s| at(*s, 21_803)).collect::<Vec<_>>(),
+        "first_start": first_start, "losses_tolerated": 0,
+    });
+    if is_entry {
+        text["callers"] = json!(at(n, 21_801));
+        text["readiness"] = json!(at(n, 21_802));
+    } else {
+        text["operators"] = json!(at(n, 21_803));
+        text["data_folder"] = json!(dir.path().join(format!("data-{name}")));
+    }
+    dir.create(&format!("{name}.json"), &text.to_string());
+}
+
+fn start(dir: &Workdir, role: &str, name: &str) -> Child {
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(dir.path().join(format!("{name}.log")))
+        .unwrap();
+    Command::new(env!("CARGO_BIN_EXE_carobreel"))
+        .arg(role)
+        .env(
+            "CAROBREEL_SETTINGS",
+            dir.path().join(format!("{name}.json")),
+        )
+        .stdout(Stdio::from(log))
+        .spawn()
+        .unwrap()
+}
+
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(child.id().to_string())
+        .status();
+    assert!(sent.unwrap().success());
+}
+
+fn log(dir: &Workdir, name: &str) -> String {
+    std::fs::read_to_string(dir.path().join(format!("{name}.log"))).unwrap()
+}
+
+fn ready() -> bool {
+    let answer = send(
+        "127.78.0.101:21802".parse().unwrap(),
+        Call::get("/v1/ready"),
+    );
+    answer.is_some_and(|a| a.status == 200)
+}
+
+#[test]
+fn settings_change_seeds_and_bad_ones_change_nothing() {
+    let dir = Workdir::new();
+    settings(&dir, "c1", 1, &[1], true);
+    // The entry host's first seed leads nowhere.
+    settings(&dir, "e1", 101, &[9], false);
+    let mut control = start(&dir, "directory", "c1");
+    let mut entry = start(&dir, "gateway", "e1");
+    let document = json!({
+        "version": "r3", "services": [{ "name": "maps" }],
+        "routes": [{ "name": "a", "hostname": "h.example", "pathPrefix": "/a/",
+            "kind": "idempotent", "timeout": "1s", "service": "maps" }],
+    });
+    let configure = || {
+        let call = Call::post("/v1/config/replace", document.to_string());
+        let answer = send("127.78.0.1:21803".parse().unwrap(), call);
+        answer.is_some_and(|a| a.status == 200)
+    };
+    wait_for("the configuration is acknowledged", READY, configure);
+    assert!(!ready());
+
+    dir.create("e1.json", "{");
+    signal(&entry, "HUP");
+    wait_for("the fault is logged", READY, || {
+        log(&dir, "e1").contains("SettingsRefused")
+    });
+    // Without a signal.
+    settings(&dir, "e1", 101, &[1], false);
+    wait_for("the gateway finds the directory", READY, ready);
+    assert!(log(&dir, "e1").contains("SettingsChanged"));
+
+    // What was acknowledged outlives a kill of everything.
+    signal(&control, "KILL");
+    signal(&entry, "KILL");
+    control.wait().unwrap();
+    entry.wait().unwrap();
+    settings(&dir, "c1", 1, &[1], false);
+    let mut control = start(&dir, "directory", "c1");
+    let mut entry = start(&dir, "gateway", "e1");
+    wait_for("the gateway is ready again", READY, ready);
+    let read = send(
+        "127.78.0.1:21803".parse().unwrap(),
+        Call::get("/v1/config/read"),
+    );
+    assert_eq!(read.unwrap().text(), document.to_string());
+
+    signal(&entry, "TERM");
+    wait_for("it isn't ready any more", Duration::from_secs(1), || {
+        !ready()
+    });
+    signal(&control, "TERM");
+    for (name, child) in [("entry", &mut entry), ("control", &mut control)] {
+        let mut code = None;
+        wait_for(name, GRACE, || {
+            code = child.try_wait().unwrap();
+            code.is_some()
+        });
+        assert!(code.is_some_and(|c| c.success()), "{name}: {code:?}");
+    }
+}
