--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -20,7 +20,7 @@
 use crate::lock::lock;
 use crate::raft::{Log, Message, ReplicaId, Timing};
 use crate::storage::{Storage, StorageError};
-use crate::transport::{Endpoint, Incoming};
+use crate::transport::Endpoint;
 use crate::wire::{RaftBatch, Request, Response};
 
 use super::ask::{Ask, Reply};
@@ -28,6 +28,7 @@
 use super::membership::{founder_id, founding};
 use super::peers::Peers;
 use super::replica::{Output, Replica, Start, LOG_NAME};
+use super::serve::Server;
 
 /// Between two looks at the clock.
 const TICK: Duration = Duration::from_millis(25);
@@ -87,7 +88,7 @@
 
 impl std::error::Error for StartError {}
 
-enum Input {
+pub(super) enum Input {
     Raft(RaftBatch),
     /// A request with where it came from.
     Ask(Ask, Origin, oneshot::Sender<Reply>),
@@ -95,7 +96,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
+pub(super) enum Origin {
     /// This process, which wants the leader's answer.
     Here,
     /// Another process, which looks for the leader itself.
@@ -472,31 +473,3 @@
         }
     }
 }
-
-#[derive(Clone)]
-struct Server {
-    endpoint: Endpoint,
-    tx: mpsc::Sender<Input>,
-}
-
-impl Server {
-    async fn serve(&self, incoming: Incoming) {
-        let response = match incoming.request {
-            Request::Raft(batch) => {
-                let _ = self.tx.send(Input::Raft(batch)).await;
-                return;
-            }
-            Request::Directory(ask) => {
-                let (tx, rx) = oneshot::channel();
-                let _ = self.tx.send(Input::Ask(ask, Origin::Elsewhere, tx)).await;
-                Response::Directory(rx.await.unwrap_or(Reply::NotLeader(None)))
-            }
-            Request::Ping => Response::Ack,
-            _ => Response::Unsupported,
-        };
-        if let Some(mut tx) = incoming.tx {
-            // A caller that has gone asks again.
-            let _ = self.endpoint.answer(&mut tx, response).await;
-        }
-    }
-}
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -11,4 +11,5 @@
 pub mod model;
 mod peers;
 pub mod replica;
+mod serve;
 pub mod state;
--- /dev/null
+++ b/src/directory/serve.rs
@@ -0,0 +1,38 @@
+//! Requests of other processes to a directory process.
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::transport::{Endpoint, Incoming};
+use crate::wire::{Request, Response};
+
+use super::ask::Reply;
+use super::daemon::{Input, Origin};
+
+#[derive(Clone)]
+pub(super) struct Server {
+    pub(super) endpoint: Endpoint,
+    pub(super) tx: mpsc::Sender<Input>,
+}
+
+impl Server {
+    /// Takes one request and answers it.
+    pub(super) async fn serve(&self, incoming: Incoming) {
+        let response = match incoming.request {
+            Request::Raft(batch) => {
+                let _ = self.tx.send(Input::Raft(batch)).await;
+                return;
+            }
+            Request::Directory(ask) => {
+                let (tx, rx) = oneshot::channel();
+                let _ = self.tx.send(Input::Ask(ask, Origin::Elsewhere, tx)).await;
+                Response::Directory(rx.await.unwrap_or(Reply::NotLeader(None)))
+            }
+            Request::Ping => Response::Ack,
+            _ => Response::Unsupported,
+        };
+        if let Some(mut tx) = incoming.tx {
+            // A caller that has gone asks again.
+            let _ = self.endpoint.answer(&mut tx, response).await;
+        }
+    }
+}
--- /dev/null
+++ b/tests/model/config.rs
@@ -0,0 +1,28 @@
+//! Configurations for the model.
+
+use std::collections::BTreeMap;
+
+use carobreel::directory::model::{Route, RouteConfig, Service};
+use carobreel::directory::state::StoredConfig;
+
+use super::SERVICE;
+
+/// Returns a configuration whose document is its number.
+pub fn config(version: u64) -> StoredConfig {
+    let service = Service {
+        health_path: "/health".to_string(),
+        connections_max: 100,
+        keyed: true,
+        warmup_ms: 3_000,
+    };
+    let config = RouteConfig {
+        version,
+        routes: Vec::<Route>::new(),
+        services: BTreeMap::from([(SERVICE.to_string(), service)]),
+        limits: Default::default(),
+    };
+    StoredConfig {
+        config,
+        source: version.to_string().into_bytes(),
+    }
+}
--- /dev/null
+++ b/tests/model/disk.rs
@@ -0,0 +1,47 @@
+//! A replica's disk: everything appended is synced.
+
+use carobreel::cell::store::Store;
+use carobreel::raft::{Entry, HardState, ReplicaId, Snapshot};
+use carobreel::storage::StorageError;
+use error_stack::Report;
+
+/// A disk: everything appended is synced.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub identity: Option<ReplicaId>,
+    pub hard: HardState,
+    pub snapshot: Snapshot,
+    pub entries: Vec<Entry>,
+    appended: usize,
+}
+
+impl Store for Disk {
+    fn append(
+        &mut self,
+        hard: Option<HardState>,
+        entries: &[Entry],
+    ) -> Result<(), Report<StorageError>> {
+        self.hard = hard.unwrap_or(self.hard);
+        if let Some(first) = entries.first() {
+            self.entries.retain(|e| e.index < first.index);
+            self.entries.extend_from_slice(entries);
+            self.appended += entries.len();
+        }
+        Ok(())
+    }
+
+    fn save_snapshot(
+        &mut self,
+        snapshot: &Snapshot,
+        rest: &[Entry],
+    ) -> Result<(), Report<StorageError>> {
+        self.snapshot = snapshot.clone();
+        self.entries = rest.to_vec();
+        self.appended = 0;
+        Ok(())
+    }
+
+    fn wants_snapshot(&self) -> bool {
+        self.appended > 200
+    }
+}
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -2,25 +2,30 @@
 //! faults, and upstreams that hold granted keys by clocks of their own. Time is virtual and every
 //! choice comes from the seed.
 
+pub mod config;
+pub mod disk;
+pub mod queue;
 pub mod upstream;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-use carobreel::cell::store::Store;
 use carobreel::clock::Mono;
 use carobreel::directory::ask::{Ask, Reply};
 use carobreel::directory::lessor::{Call, CallResult};
 use carobreel::directory::membership::{founder_id, founding};
-use carobreel::directory::model::{Key, Route, RouteConfig, Service};
+use carobreel::directory::model::Key;
 use carobreel::directory::replica::{Output, Replica, Start};
-use carobreel::directory::state::StoredConfig;
-use carobreel::raft::{Entry, HardState, Log, Message, ReplicaId, Snapshot, Timing};
+use carobreel::raft::{Log, Message, ReplicaId, Timing};
 use carobreel::storage::{Identity, Recovered, StorageError};
 use error_stack::Report;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use config::config;
+use disk::Disk;
+pub use queue::Faults;
+use queue::{Event, Question, Queued};
 use upstream::Upstreams;
 
 /// The service that is divided by key.
@@ -33,47 +38,6 @@
 const JOIN_MS: u64 = 300;
 pub const HOLD_MS: u64 = 2_500;
 
-/// A disk: everything appended is synced.
-#[derive(Clone, Debug, Default)]
-pub struct Disk {
-    identity: Option<ReplicaId>,
-    hard: HardState,
-    snapshot: Snapshot,
-    entries: Vec<Entry>,
-    appended: usize,
-}
-
-impl Store for Disk {
-    fn append(
-        &mut self,
-        hard: Option<HardState>,
-        entries: &[Entry],
-    ) -> Result<(), Report<StorageError>> {
-        self.hard = hard.unwrap_or(self.hard);
-        if let Some(first) = entries.first() {
-            self.entries.retain(|e| e.index < first.index);
-            self.entries.extend_from_slice(entries);
-            self.appended += entries.len();
-        }
-        Ok(())
-    }
-
-    fn save_snapshot(
-        &mut self,
-        snapshot: &Snapshot,
-        rest: &[Entry],
-    ) -> Result<(), Report<StorageError>> {
-        self.snapshot = snapshot.clone();
-        self.entries = rest.to_vec();
-        self.appended = 0;
-        Ok(())
-    }
-
-    fn wants_snapshot(&self) -> bool {
-        self.appended > 200
-    }
-}
-
 type Member = Replica<Disk, u64>;
 
 struct Node {
@@ -85,64 +49,6 @@
     frozen_until: u64,
 }
 
-#[derive(Clone, Debug)]
-pub enum Event {
-    Tick(usize),
-    Deliver(usize, Vec<Message>),
-    Ask(usize, Ask, u64),
-    Reply(u64, Reply),
-    CallArrives(usize, Call, bool),
-    Called(usize, u64, u64, CallResult),
-    Restart(usize),
-    Announce(usize),
-    Join(usize),
-}
-
-struct Queued {
-    at: u64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Queued) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Queued {}
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Queued) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Queued {
-    fn cmp(&self, other: &Queued) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
-/// What a question was about, until its answer comes.
-#[derive(Clone, Debug)]
-enum Question {
-    Configure(u64),
-    /// The version that was acknowledged when the question was put.
-    Read(u64),
-    Drain(usize),
-    Announce(usize, u64),
-    Other,
-}
-
-/// How the platform misbehaves.
-#[derive(Clone, Copy, Debug)]
-pub struct Faults {
-    /// Messages lost, of a thousand.
-    pub lost: u32,
-    /// Calls to upstreams that are answered by nothing and applied late, of a thousand.
-    pub late_calls: u32,
-    /// How much longer than told upstreams hold keys, in percent; the contract allows 2.
-    pub slow_clock_percent: u64,
-}
-
 /// The whole model.
 pub struct World {
     pub now: u64,
@@ -588,23 +494,3 @@
         Some(self.nodes[n].member.as_ref()?.state())
     }
 }
-
-/// Returns a configuration whose document is its number.
-pub fn config(version: u64) -> StoredConfig {
-    let service = Service {
-        health_path: "/health".to_string(),
-        connections_max: 100,
-        keyed: true,
-        warmup_ms: 3_000,
-    };
-    let config = RouteConfig {
-        version,
-        routes: Vec::<Route>::new(),
-        services: BTreeMap::from([(SERVICE.to_string(), service)]),
-        limits: Default::default(),
-    };
-    StoredConfig {
-        config,
-        source: version.to_string().into_bytes(),
-    }
-}
