Ask other hosts of a cell sooner when its leader is silent

Cause: an entry host waited 1.2 s for a frozen or killed leader before it asked another host, and asked the silent one first again for the next call. Renewals of routing leases (2 s) and upstreams' heartbeats came too late, so that leases lapsed and owners moved. Now a host has 500 ms beyond the time for which it may hold a request, and one that gave no answer isn't asked for 500 ms while others are there. Which host is asked is a type of its own (Candidates) with a doc test.

Ruled out: waiting for the silent host in parallel (two leaders' answers to one renewal would have to be told apart).

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,15 +1,22 @@
 //! Asks the leader of a cell, whichever control host that is.
 
-use std::sync::{Arc, Mutex};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use crate::cell::ask::{Ask, Reply};
+use crate::cell::replica::RENEWAL_HOLD_MS;
+use crate::clock::{Clock, Mono};
 use crate::settings::{Cell, Deployment};
 use crate::transport::Endpoint;
 use crate::wire::{CellRequest, Request, Response};
 
-/// The least time that one try may take, in milliseconds.
-const TRY_MS: u64 = 1_200;
+/// How long a host has for an answer that it doesn't hold back, in milliseconds: the shortest
+/// silence after which another leader may be elected.
+const ANSWER_MS: u64 = 500;
+/// A host that gave no answer isn't asked for this long while others are there, in milliseconds:
+/// the same silence, so that a leader which is only slow is asked again within its leases.
+const SILENT_MS: u64 = 500;
 /// The pause before the hosts are tried again, in milliseconds.
 const PAUSE_MS: u64 = 50;
 
@@ -22,8 +29,83 @@
 pub struct CellClient {
     endpoint: Endpoint,
     cell: String,
+    clock: Clock,
+    candidates: Arc<Mutex<Candidates>>,
+}
+
+/// The control hosts of a cell in the order in which they are asked.
+///
+/// ```
+/// use carobreel::client::Candidates;
+/// use carobreel::clock::Mono;
+///
+/// let hosts = ["c-1", "c-2"].map(String::from);
+/// let mut candidates = Candidates::new(hosts.to_vec());
+/// candidates.follow("c-2");
+/// assert_eq!(candidates.order(Mono(0)), ["c-2", "c-1"]);
+/// candidates.note_silent("c-2", Mono(0));
+/// assert_eq!(candidates.order(Mono(1)), ["c-1"]);
+/// assert_eq!(candidates.order(Mono(600)), ["c-1", "c-2"]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Candidates {
     hosts: Vec<String>,
-    leader: Arc<Mutex<Option<String>>>,
+    leader: Option<String>,
+    silent_until: BTreeMap<String, Mono>,
+}
+
+impl Candidates {
+    /// Returns candidates of which nothing is known.
+    pub fn new(hosts: Vec<String>) -> Candidates {
+        Candidates {
+            hosts,
+            ..Candidates::default()
+        }
+    }
+
+    /// Returns the hosts, the leader first; those that gave no answer are left out unless all did.
+    pub fn order(&self, now: Mono) -> Vec<String> {
+        let mut order = self.hosts.clone();
+        if order.iter().any(|h| !self.is_silent(h, now)) {
+            order.retain(|h| !self.is_silent(h, now));
+        }
+        let leader = self.leader.as_ref();
+        order.sort_by_key(|h| leader != Some(h));
+        order
+    }
+
+    /// Takes a host for the leader.
+    pub fn follow(&mut self, host: &str) {
+        self.leader = Some(host.to_string());
+    }
+
+    /// Takes a host's word that it leads or doesn't.
+    pub fn note_answer(&mut self, host: &str, leads: bool) {
+        self.silent_until.remove(host);
+        if leads {
+            self.follow(host);
+        } else {
+            self.forget(host);
+        }
+    }
+
+    /// Notes that a host gave no answer.
+    pub fn note_silent(&mut self, host: &str, now: Mono) {
+        self.silent_until
+            .insert(host.to_string(), now.plus(SILENT_MS));
+        self.forget(host);
+    }
+
+    /// Tells whether a host gave no answer lately.
+    pub fn is_silent(&self, host: &str, now: Mono) -> bool {
+        self.silent_until.get(host).is_some_and(|t| *t > now)
+    }
+
+    fn forget(&mut self, host: &str) {
+        if self.leader.as_deref() == Some(host) {
+            self.leader = None;
+        }
+    }
 }
 
 impl CellClient {
@@ -32,8 +114,8 @@
         CellClient {
             endpoint,
             cell: cell.region.clone(),
-            hosts: cell.voters.clone(),
-            leader: Arc::default(),
+            clock: Clock::start(),
+            candidates: Arc::new(Mutex::new(Candidates::new(cell.voters.clone()))),
         }
     }
 
@@ -64,63 +146,58 @@
 
     async fn search(&self, ask: Ask) -> Reply {
         loop {
-            let mut order = self.hosts.clone();
-            if let Some(leader) = self.known_leader() {
-                order.retain(|h| *h != leader);
-                order.insert(0, leader);
-            }
+            let order = self.candidates().order(self.clock.now());
             for host in order {
                 match self.ask_host(&host, ask.clone()).await {
-                    Some(Reply::NotLeader(Some(leader))) if leader != host => {
-                        self.set_leader(Some(leader));
-                        break;
+                    Some(Reply::NotLeader(leader)) => {
+                        self.candidates().note_answer(&host, false);
+                        let other = leader.filter(|l| *l != host);
+                        if other.is_some_and(|leader| self.follow(&leader)) {
+                            break;
+                        }
                     }
-                    Some(Reply::NotLeader(_)) | None => self.forget_leader(&host),
                     Some(reply) => {
-                        self.set_leader(Some(host));
+                        self.candidates().note_answer(&host, true);
                         return reply;
                     }
+                    None => self.candidates().note_silent(&host, self.clock.now()),
                 }
             }
             tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
         }
     }
 
+    /// Takes a host's word for who leads, unless that one gave no answer lately.
+    fn follow(&self, leader: &str) -> bool {
+        let mut candidates = self.candidates();
+        if candidates.is_silent(leader, self.clock.now()) {
+            return false;
+        }
+        candidates.follow(leader);
+        true
+    }
+
     /// Asks one host; `None` when it gave no answer.
     pub async fn ask_host(&self, host: &str, ask: Ask) -> Option<Reply> {
+        let answer_ms = match ask {
+            Ask::Renew(_) => RENEWAL_HOLD_MS + ANSWER_MS,
+            _ => ANSWER_MS,
+        };
         let request = Request::Cell(CellRequest {
             cell: self.cell.clone(),
             ask,
         });
-        let timeout = Duration::from_millis(TRY_MS);
+        let timeout = Duration::from_millis(answer_ms);
         match self.endpoint.call(host, request, timeout).await {
             Ok(Response::Cell(reply)) => Some(reply),
             _ => None,
         }
     }
 
-    /// Returns the control hosts of the cell.
-    pub fn hosts(&self) -> &[String] {
-        &self.hosts
-    }
-
-    fn known_leader(&self) -> Option<String> {
-        match self.leader.lock() {
-            Ok(leader) => leader.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        }
-    }
-
-    fn set_leader(&self, host: Option<String>) {
-        match self.leader.lock() {
-            Ok(mut leader) => *leader = host,
-            Err(poisoned) => *poisoned.into_inner() = host,
-        }
-    }
-
-    fn forget_leader(&self, host: &str) {
-        if self.known_leader().as_deref() == Some(host) {
-            self.set_leader(None);
+    fn candidates(&self) -> MutexGuard<'_, Candidates> {
+        match self.candidates.lock() {
+            Ok(candidates) => candidates,
+            Err(poisoned) => poisoned.into_inner(),
         }
     }
 }
