--- a/src/cmd/directory.rs
+++ b/src/cmd/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use carobreel::directory::daemon::{Directory, Settings};
+use carobreel::exposition;
 use carobreel::keys;
 use carobreel::lock::lock;
 use carobreel::platform::api;
@@ -51,6 +52,11 @@
         let calls = KeyClient::new(started.clock);
         let directory = Directory::spawn(settings, tls, calls, started.clock, recorder.clone())
             .map_err(|e| failed(e.to_string()))?;
+        if let Some(address) = host.metrics {
+            let metrics = directory.metrics();
+            let text = move || metrics.text();
+            tokio::spawn(exposition::serve(address, text, recorder.clone()));
+        }
         let listener = TcpListener::bind(operators)
             .await
             .map_err(|e| failed(format!("can't listen on {operators}: {e}")))?;
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,26 +1,33 @@
-//! Tells who owns a key, or what an upstream holds, and why.
+//! Tells who owns a key, what an upstream holds, or what became of a request, and why.
 
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 
 use carobreel::cell::ask::Inspection;
 use carobreel::cell::state::{Phase, Upstream, UpstreamId};
+use carobreel::diagnosis::{diagnose, Line};
+use carobreel::event::Event;
 use carobreel::http::Call;
+use carobreel::logs::Logs;
 use carobreel::slot::{home_region, ranges, KeyHash, SlotId};
 use lexopt::ValueExt;
 
-use crate::cli::{need, parse, set_once, Arg, CliError, CliResult};
+use crate::cli::{need, parse, set_once, Arg, CliError, CliResult, Output};
 
 const USAGE: &str = "\
-Tell who owns a key, or what an upstream holds, and why.
+Tell who owns a key, what an upstream holds, or what became of a request, and why.
 
 Usage: carobreel explain --admin ADDRESS --keys FOLDER --key SERVICE/KEY
        carobreel explain --admin ADDRESS --keys FOLDER UPSTREAM
+       carobreel explain --request ID --logs FILE...
+
+The logs are what the processes wrote to standard output; the more of them, the more is told.
 
 Examples:
   carobreel explain --admin 127.0.0.1:21060 --keys examples/arraial/run/keys \\
       --key mapa-cortes/rua-direita
   carobreel explain --admin 127.0.0.1:21060 --keys examples/arraial/run/keys mapa-cortes-3
+  carobreel explain --request 9c41d07be2a35f68 --logs e1.log e2.log c1.log
 ";
 
 type Cells = BTreeMap<String, Option<Inspection>>;
@@ -28,18 +35,28 @@
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
     let mut key = None;
-    let mut upstream = None;
+    let mut request = None;
+    let mut names: Vec<OsString> = Vec::new();
     let common = parse(argv, USAGE, |arg, parser| {
         match arg {
             Arg::Option(name) if name == "key" => key = Some(parser.value()?.string()?),
+            Arg::Option(name) if name == "request" => request = Some(parser.value()?.string()?),
+            Arg::Option(name) if name == "logs" => names.push(parser.value()?),
             Arg::Option(_) => return Ok(false),
-            Arg::Value(name) => set_once(&mut upstream, name.clone().string()?, "UPSTREAM")?,
+            Arg::Value(name) => names.push(name.clone()),
         }
         Ok(true)
     })?;
     let Some(common) = common else {
         return Ok(());
     };
+    if let Some(request) = request {
+        return explain_request(&request, &names, common.output);
+    }
+    let mut upstream = None;
+    for name in names {
+        set_once(&mut upstream, name.string()?, "UPSTREAM")?;
+    }
     let cells: Cells = common.access.fetch(Call::get("/v1/status"))?;
     let lines = match &key {
         Some(key) => explain_key(&cells, key)?,
@@ -49,6 +66,43 @@
     common.output.line(lines.join("\n"))
 }
 
+fn explain_request(request: &str, files: &[OsString], output: Output) -> CliResult {
+    if files.is_empty() {
+        return Err(CliError::Usage("--logs FILE is missing".to_string()));
+    }
+    let logs = Logs::read(files)?;
+    let Some(diagnosis) = diagnose(&logs.events, request) else {
+        let left_out: u64 = logs.events.iter().map(|s| left_out(&s.event)).sum();
+        return Err(CliError::Refused(format!(
+            "no line names request {request}: {} events were read, {} lines couldn't be; answered \
+             requests are logged as a sample, and {left_out} lines were left out in bursts",
+            logs.events.len(),
+            logs.unreadable
+        )));
+    };
+    let began = diagnosis.lines.first().map_or(0, |l| l.time.wall_ms);
+    let told = |line: &Line| {
+        let after_ms = line.time.wall_ms.saturating_sub(began);
+        format!(
+            "+{:>8.3} s  {:<16} {}",
+            after_ms as f64 / 1_000.0,
+            line.host,
+            line.text
+        )
+    };
+    let mut lines: Vec<String> = diagnosis.lines.iter().map(told).collect();
+    lines.push(format!("Cause: {}", diagnosis.cause));
+    output.value(&lines)?;
+    output.line(lines.join("\n"))
+}
+
+fn left_out(event: &Event) -> u64 {
+    match event {
+        Event::RequestsUnlogged { count } => *count,
+        _ => 0,
+    }
+}
+
 fn explain_key(cells: &Cells, target: &str) -> CliResult<Vec<String>> {
     let Some((service, key)) = target.split_once('/') else {
         return Err(CliError::Usage("expected --key SERVICE/KEY".to_string()));
--- /dev/null
+++ b/src/cmd/report.rs
@@ -0,0 +1,56 @@
+//! Draws a day's course from captured logs.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use carobreel::logs::Logs;
+use carobreel::report::Report;
+use lexopt::ValueExt;
+
+use crate::cli::{need, parse, Arg, CliError, CliResult};
+
+const USAGE: &str = "\
+Draw a day's course from captured logs, as one HTML file that fetches nothing.
+
+Usage: carobreel report --out FILE [--title TEXT] LOG...
+
+Examples:
+  carobreel report --out day.html --title 'Friday evening' e1.log e2.log c1.log
+";
+
+/// Runs the command.
+pub fn run(argv: Vec<OsString>) -> CliResult {
+    let mut out: Option<PathBuf> = None;
+    let mut title = "carobreel".to_string();
+    let mut files: Vec<PathBuf> = Vec::new();
+    let common = parse(argv, USAGE, |arg, parser| {
+        match arg {
+            Arg::Option(name) if name == "out" => out = Some(parser.value()?.into()),
+            Arg::Option(name) if name == "title" => title = parser.value()?.string()?,
+            Arg::Option(_) => return Ok(false),
+            Arg::Value(file) => files.push(file.into()),
+        }
+        Ok(true)
+    })?;
+    let Some(common) = common else {
+        return Ok(());
+    };
+    let out = need(out, "--out FILE")?;
+    if files.is_empty() {
+        return Err(CliError::Usage("LOG is missing".to_string()));
+    }
+    let logs = Logs::read(&files)?;
+    if logs.events.is_empty() {
+        let text = "these files hold no events of carobreel".to_string();
+        return Err(CliError::Refused(text));
+    }
+    std::fs::write(&out, Report::new(&logs.events).page(&title))?;
+    let text = format!(
+        "{}: {} events, {} lines that can't be read",
+        out.display(),
+        logs.events.len(),
+        logs.unreadable
+    );
+    common.output.value(&text)?;
+    common.output.line(text)
+}
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -4,6 +4,7 @@
 
 use carobreel::event::Stamped;
 use carobreel::http::Call;
+use carobreel::logs::Logs;
 use lexopt::ValueExt;
 
 use crate::cli::{parse, Arg, CliResult, Output};
@@ -12,6 +13,7 @@
 Show the events of all processes in causal order.
 
 Usage: carobreel timeline --admin ADDRESS --keys FOLDER [--json] [FILTERS]
+       carobreel timeline --logs FILE... [--json] [FILTERS]
 
 Filters:
   --text TEXT      Only events that name TEXT: a key's hash, an upstream, a service
@@ -23,6 +25,7 @@
   carobreel timeline --admin 127.0.0.1:21060 --keys examples/arraial/run/keys --last 20
   carobreel timeline --admin 127.0.0.1:21060 --keys examples/arraial/run/keys \\
       --text mapa-cortes-3
+  carobreel timeline --text LeaderElected --logs c1.log c2.log c3.log
 ";
 
 /// Which events to show.
@@ -46,14 +49,22 @@
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
     let mut filter = Filter::default();
+    let mut files: Vec<OsString> = Vec::new();
     let common = parse(argv, USAGE, |arg, parser| {
-        let Arg::Option(name) = arg else {
-            return Ok(false);
+        let name = match arg {
+            Arg::Option(name) => name,
+            // Further files of --logs.
+            Arg::Value(file) if !files.is_empty() => {
+                files.push(file.clone());
+                return Ok(true);
+            }
+            Arg::Value(_) => return Ok(false),
         };
         match name.as_str() {
             "text" => filter.text = Some(parser.value()?.string()?),
             "host" => filter.host = Some(parser.value()?.string()?),
             "since-ms" => filter.since_ms = parser.value()?.parse()?,
+            "logs" => files.push(parser.value()?),
             "last" => filter.last = Some(parser.value()?.parse()?),
             _ => return Ok(false),
         }
@@ -62,7 +73,11 @@
     let Some(common) = common else {
         return Ok(());
     };
-    let mut events: Vec<Stamped> = common.access.fetch(Call::get("/v1/timeline"))?;
+    let mut events: Vec<Stamped> = if files.is_empty() {
+        common.access.fetch(Call::get("/v1/timeline"))?
+    } else {
+        Logs::read(&files)?.events
+    };
     events.retain(|e| filter.admits(e));
     let skip = filter.last.map_or(0, |n| events.len().saturating_sub(n));
     for stamped in events.iter().skip(skip) {
--- /dev/null
+++ b/src/diagnosis/words.rs
@@ -0,0 +1,189 @@
+//! Events in words.
+
+use crate::event::Event;
+
+/// Tells an event in a sentence; those that aren't about requests on the platform by their catalogue
+/// text and fields.
+pub fn sentence(event: &Event) -> String {
+    match event {
+        Event::ProcessStarted { role, version } => format!("{role} {version} starts"),
+        Event::ProcessStopping { in_flight: 0 } => "is asked to stop".to_string(),
+        Event::ProcessStopping { in_flight } => {
+            format!("stops with {in_flight} requests in flight")
+        }
+        Event::LeaderElected { term, .. } => format!("leads the directory from term {term}"),
+        Event::LeaderLost { term, .. } => format!("no longer leads the directory (term {term})"),
+        Event::RoutesInForce { version, routes } => {
+            format!("uses configuration {version} with {routes} routes")
+        }
+        Event::UpstreamRegistered {
+            upstream,
+            service,
+            phase,
+            ..
+        } => format!("upstream {upstream} of {service} is {}", phase.to_lowercase()),
+        Event::UpstreamDeregistered { upstream } => format!("upstream {upstream} says that it leaves"),
+        Event::KeysAssigned {
+            service,
+            from,
+            to,
+            owner,
+            fence,
+        } => format!("keys {from} to {to} of {service} go to {owner} under fence {fence}"),
+        Event::CallFailed {
+            upstream,
+            order,
+            from,
+            to,
+            fence,
+            result,
+            ..
+        } => format!(
+            "{order} of keys {from} to {to} under fence {fence} to {upstream}: {}",
+            result.replace('_', " ")
+        ),
+        Event::DirectoryFollowed { leader } => format!("follows the directory's leader {leader}"),
+        Event::DirectoryLost { age_ms } => {
+            format!("has no leader of the directory; what it knows is {age_ms} ms old")
+        }
+        Event::UpstreamEjected { upstream, reason } => {
+            format!("passes upstream {upstream} over for a while: {reason}")
+        }
+        Event::UpstreamReadmitted { upstream } => format!("upstream {upstream} answers again"),
+        Event::RequestsUnlogged { count } => format!("left out {count} lines about requests"),
+        Event::AttemptFailed {
+            upstream,
+            fence,
+            reason,
+            sent,
+            expected_ms,
+            load_age_ms,
+            waited_ms,
+            ..
+        } => {
+            let ran = if *sent { "it may have run" } else { "it didn't run" };
+            format!(
+                "sent to {upstream}{}, which was expected to answer in {expected_ms} ms ({}); after \
+                 {waited_ms} ms: {reason}, {ran}",
+                fence_text(*fence),
+                load_text(*load_age_ms)
+            )
+        }
+        Event::RequestServed {
+            route,
+            service,
+            key,
+            status,
+            upstream,
+            fence,
+            attempts,
+            owner_wait_ms,
+            expected_ms,
+            load_age_ms,
+            waited_ms,
+            config,
+            age_ms,
+            ..
+        } => format!(
+            "answered with {status} after {waited_ms} ms by {upstream}{} at attempt {attempts}; it was \
+             expected in {expected_ms} ms ({}). Route {route}, service {service}{}{}; configuration \
+             {config}, confirmed {age_ms} ms before",
+            fence_text(*fence),
+            load_text(*load_age_ms),
+            key_text(*key),
+            wait_text(*owner_wait_ms)
+        ),
+        Event::RequestFailed {
+            route,
+            service,
+            key,
+            status,
+            reason,
+            retry_after_ms,
+            patience_ms,
+            upstreams,
+            owner_wait_ms,
+            waited_ms,
+            config,
+            owners,
+            age_ms,
+            ..
+        } => {
+            let tried = match upstreams.as_str() {
+                "" => "sent to nobody".to_string(),
+                _ => format!("sent to {upstreams}"),
+            };
+            let again = retry_after_ms.map_or(String::new(), |ms| {
+                format!(", the caller may come back in {ms} ms")
+            });
+            format!(
+                "ended with {status} after {waited_ms} of {patience_ms} ms: {reason}; {tried}{again}. \
+                 Route {route}, service {service}{}{}; configuration {config}, owners {owners}, \
+                 confirmed {age_ms} ms before",
+                key_text(*key),
+                wait_text(*owner_wait_ms)
+            )
+        }
+        Event::RequestAbandoned {
+            route,
+            service,
+            key,
+            upstreams,
+            waited_ms,
+            config,
+            age_ms,
+            ..
+        } => {
+            let at = match upstreams.as_str() {
+                "" => "before it was sent to anybody".to_string(),
+                _ => format!("with the request sent to {upstreams}"),
+            };
+            format!(
+                "the caller left after {waited_ms} ms, {at}. Route {route}, service {service}{}; \
+                 configuration {config}, confirmed {age_ms} ms before",
+                key_text(*key)
+            )
+        }
+        Event::RequestRejected {
+            host,
+            path,
+            status,
+            reason,
+            config,
+            age_ms,
+            ..
+        } => format!(
+            "ended with {status}: {reason} for host {host:?} and path {path:?}; configuration {config}, \
+             confirmed {age_ms} ms before"
+        ),
+        other => {
+            let fields = serde_json::to_string(other).unwrap_or_default();
+            format!("{} {fields}", other.description().text)
+        }
+    }
+}
+
+fn fence_text(fence: u64) -> String {
+    match fence {
+        0 => String::new(),
+        _ => format!(" (owner under fence {fence})"),
+    }
+}
+
+fn load_text(age_ms: Option<u64>) -> String {
+    match age_ms {
+        Some(ms) => format!("its load was reported {ms} ms before"),
+        None => "it had reported no load".to_string(),
+    }
+}
+
+fn key_text(key: Option<u16>) -> String {
+    key.map_or(String::new(), |key| format!(", key {key}"))
+}
+
+fn wait_text(owner_wait_ms: u64) -> String {
+    match owner_wait_ms {
+        0 => String::new(),
+        ms => format!(", of it {ms} ms for the key's owner"),
+    }
+}
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -26,6 +26,7 @@
 use super::ask::{Ask, Reply};
 use super::lessor::{Call, CallResult};
 use super::membership::{founder_id, founding};
+use super::metrics::{CallLabels, Metrics};
 use super::peers::Peers;
 use super::replica::{Output, Replica, Start, LOG_NAME};
 use super::serve::Server;
@@ -107,6 +108,7 @@
 #[derive(Debug)]
 pub struct Directory {
     handle: Handle,
+    metrics: Arc<Metrics>,
     stop: watch::Sender<bool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -146,6 +148,8 @@
         let (tx, rx) = mpsc::channel(QUEUE_MAX);
         let (ready, started) = std::sync::mpsc::channel();
         let handle = Handle { tx: tx.clone() };
+        let metrics = Arc::new(Metrics::new());
+        let shown = metrics.clone();
         let run = move || {
             let runtime = tokio::runtime::Builder::new_current_thread()
                 .enable_all()
@@ -178,6 +182,7 @@
                     clock,
                     tx,
                     calls: Arc::new(calls),
+                    metrics: shown,
                     hosts: BTreeMap::new(),
                 };
                 host.run(rx, stopped).await;
@@ -190,6 +195,7 @@
         started.recv().change_context(StartError::Thread)??;
         Ok(Directory {
             handle,
+            metrics,
             stop,
             thread: Some(thread),
         })
@@ -200,6 +206,11 @@
         self.handle.clone()
     }
 
+    /// Returns the process's metrics.
+    pub fn metrics(&self) -> Arc<Metrics> {
+        self.metrics.clone()
+    }
+
     /// Stops the replica and waits for its thread.
     pub fn stop(mut self) {
         let _ = self.stop.send(true);
@@ -219,6 +230,7 @@
     tx: mpsc::Sender<Input>,
     calls: Arc<C>,
     peers: Peers,
+    metrics: Arc<Metrics>,
     /// Where replicas write from; one that was just taken in knows no membership yet.
     hosts: BTreeMap<ReplicaId, String>,
 }
@@ -251,6 +263,7 @@
                     e.current_context().to_string()
                 }
             };
+            self.metrics.storage_failures.inc();
             self.recorder.record(Event::StorageFailed { reason });
             tokio::time::sleep(REOPEN_AFTER).await;
         }
@@ -335,6 +348,7 @@
             let now = self.clock.now();
             let output = member.tick(now)?;
             self.finish(&member, output);
+            self.metrics.observe(&member, now);
             let is_member = member
                 .raft()
                 .membership()
@@ -365,15 +379,21 @@
                 member.ask(ask, tx, now)?
             }
             Input::Called(call, result) => {
+                let labels = CallLabels {
+                    order: call.order.name(),
+                    result: result.name(),
+                };
+                self.metrics.calls.get_or_create(&labels).inc();
                 if !matches!(result, CallResult::Done(_)) {
                     self.recorder.record(Event::CallFailed {
                         number: call.number,
+                        upstream: call.upstream.clone(),
                         address: call.address.to_string(),
-                        order: format!("{:?}", call.order),
+                        order: call.order.name().to_string(),
                         from: call.from,
                         to: call.to,
                         fence: call.fence,
-                        result: format!("{result:?}"),
+                        result: result.name().to_string(),
                     });
                 }
                 member.finish_call(call.number, result, now)?
@@ -445,6 +465,9 @@
     /// Sends what a step handed out.
     fn finish(&mut self, member: &Member, output: Output<oneshot::Sender<Reply>>) {
         for event in output.events {
+            if let Event::KeysAssigned { .. } = event {
+                self.metrics.keys_assigned.inc();
+            }
             self.recorder.record(event);
         }
         for (tx, reply) in output.replies {
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -58,6 +58,16 @@
     Release,
 }
 
+impl Order {
+    /// Returns its name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Order::Grant { .. } => "grant",
+            Order::Release => "release",
+        }
+    }
+}
+
 /// A call to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
@@ -96,6 +106,19 @@
     Unknown,
 }
 
+impl CallResult {
+    /// Returns its name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            CallResult::Done(_) => "done",
+            CallResult::Fenced => "fenced",
+            CallResult::NotSent => "not_sent",
+            CallResult::Misdirected => "elsewhere",
+            CallResult::Unknown => "unanswered",
+        }
+    }
+}
+
 /// What the last owner may still hold.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bounds {
--- /dev/null
+++ b/src/directory/metrics.rs
@@ -0,0 +1,174 @@
+//! Metrics of a directory process.
+
+use std::fmt;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::clock::Mono;
+
+use super::replica::Replica;
+
+/// What became of calls to upstreams about their keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// `grant` or `release`.
+    pub order: &'static str,
+    /// `done`, `fenced`, `not_sent`, `elsewhere` or `unanswered`.
+    pub result: &'static str,
+}
+
+/// All metrics of one directory process.
+pub struct Metrics {
+    registry: Registry,
+    leads: Gauge,
+    term: Gauge,
+    committed: Gauge,
+    log_entries: Gauge,
+    config_version: Gauge,
+    owners_version: Gauge,
+    upstreams: Gauge,
+    voters: Gauge,
+    waiting: Gauge,
+    lease_left: Gauge,
+    /// Calls to upstreams about their keys.
+    pub calls: Family<CallLabels, Counter>,
+    /// Ranges of keys that got an owner, as the leader tells.
+    pub keys_assigned: Counter,
+    /// Times that the data folder failed.
+    pub storage_failures: Counter,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Returns metrics at zero.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::directory::metrics::Metrics;
+    ///
+    /// let metrics = Metrics::new();
+    /// metrics.storage_failures.inc();
+    /// assert!(metrics.text().contains("carobreel_directory_storage_failures_total 1"));
+    /// ```
+    pub fn new() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("carobreel_directory"),
+            leads: Gauge::default(),
+            term: Gauge::default(),
+            committed: Gauge::default(),
+            log_entries: Gauge::default(),
+            config_version: Gauge::default(),
+            owners_version: Gauge::default(),
+            upstreams: Gauge::default(),
+            voters: Gauge::default(),
+            waiting: Gauge::default(),
+            lease_left: Gauge::default(),
+            calls: Family::default(),
+            keys_assigned: Counter::default(),
+            storage_failures: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Takes the state of a replica.
+    pub fn observe<S: crate::cell::store::Store, T>(&self, member: &Replica<S, T>, now: Mono) {
+        let raft = member.raft();
+        let log = raft.log();
+        let state = member.state();
+        self.leads.set(i64::from(member.leads()));
+        self.term.set(raft.term() as i64);
+        self.committed.set(raft.commit_index() as i64);
+        let entries = log.last_index().saturating_sub(log.snapshot().index);
+        self.log_entries.set(entries as i64);
+        self.config_version.set(state.config_version() as i64);
+        self.owners_version.set(state.versions.owners as i64);
+        self.upstreams.set(state.upstreams.len() as i64);
+        self.voters.set(raft.membership().voters.len() as i64);
+        self.waiting.set(member.waiting() as i64);
+        self.lease_left.set(member.lease_left_ms(now) as i64);
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        let gauges = [
+            ("leads", "1 while this replica leads", &self.leads),
+            ("term", "The newest term heard of", &self.term),
+            (
+                "committed",
+                "Index of the newest committed entry",
+                &self.committed,
+            ),
+            (
+                "log_entries",
+                "Entries since the snapshot",
+                &self.log_entries,
+            ),
+            (
+                "config_version",
+                "Newest configuration applied",
+                &self.config_version,
+            ),
+            (
+                "owners_version",
+                "Version of the table of owners",
+                &self.owners_version,
+            ),
+            ("upstreams", "Upstreams known", &self.upstreams),
+            ("voters", "Voters of the log", &self.voters),
+            (
+                "waiting",
+                "Requests that wait for the leader's answer",
+                &self.waiting,
+            ),
+            (
+                "lease_left_milliseconds",
+                "How long a leader may answer and grant without hearing from a majority",
+                &self.lease_left,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            r.register(name, help, gauge.clone());
+        }
+        r.register(
+            "calls",
+            "Calls to upstreams about their keys",
+            self.calls.clone(),
+        );
+        r.register(
+            "keys_assigned",
+            "Ranges of keys that got an owner",
+            self.keys_assigned.clone(),
+        );
+        r.register(
+            "storage_failures",
+            "Times that the data folder failed",
+            self.storage_failures.clone(),
+        );
+    }
+}
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -8,6 +8,7 @@
 mod describe;
 pub mod lessor;
 pub mod membership;
+pub mod metrics;
 pub mod model;
 mod peers;
 pub mod replica;
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -159,6 +159,17 @@
         self.lead.is_some()
     }
 
+    /// Returns how many requests wait for an answer.
+    pub fn waiting(&self) -> usize {
+        self.lead.as_ref().map_or(0, |lead| lead.waiting.len())
+    }
+
+    /// Returns how long this replica may answer and grant without hearing from a majority, in
+    /// milliseconds.
+    pub fn lease_left_ms(&self, now: Mono) -> u64 {
+        self.lead.as_ref().map_or(0, |l| l.lease_until.since(now))
+    }
+
     /// Returns the leader's address, when one is known.
     pub fn leader_host(&self) -> Option<String> {
         let leader = self.raft.leader()?;
--- a/src/event.rs
+++ b/src/event.rs
@@ -109,16 +109,21 @@
     203 Info UpstreamRegistered "What an upstream says of itself changed." { upstream: String, born_ms: u64, service: String, phase: String }
     204 Info UpstreamDeregistered "An upstream said that it leaves." { upstream: String }
     205 Info KeysAssigned "Keys got an owner." { service: String, from: u16, to: u16, owner: String, fence: u64 }
-    206 Warning CallFailed "A call to an upstream about its keys wasn't answered." { number: u64, address: String, order: String, from: u16, to: u16, fence: u64, result: String }
+    206 Warning CallFailed "A call to an upstream about its keys wasn't answered." { number: u64, upstream: String, address: String, order: String, from: u16, to: u16, fence: u64, result: String }
     207 Info DirectoryFollowed "An entry host has a leader of the directory to follow." { leader: String }
     208 Warning DirectoryLost "An entry host has no leader of the directory and goes on with what it knows." { age_ms: u64 }
     209 Warning StorageFailed "The data folder failed; the replica starts again from what it stored." { reason: String }
     210 Warning FolderReplaced "A damaged data folder was set aside; the replica joins under a new identity." { reason: String }
-    220 Warning RequestFailed "A request ended without an upstream's whole answer." { request: String, route: String, service: String, status: u16, reason: String, upstreams: String, waited_ms: u64, config: u64, age_ms: u64 }
-    221 Warning AttemptFailed "A request couldn't be answered by one upstream." { request: String, upstream: String, reason: String, sent: bool, waited_ms: u64 }
+    220 Warning RequestFailed "A request ended without an upstream's whole answer." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
+    221 Warning AttemptFailed "A request couldn't be answered by one upstream." { request: String, upstream: String, fence: u64, reason: String, sent: bool, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64 }
     222 Warning RequestsUnlogged "Lines about requests were left out to bound the log." { count: u64 }
     223 Info SettingsChanged "The settings file changed and was read again." { seeds: String }
     224 Warning SettingsRefused "The settings file changed and can't be used; the former settings stay." { reason: String }
+    225 Info RequestServed "A request got an upstream's answer; a sample of them is written." { request: String, route: String, service: String, key: Option<u16>, status: u16, upstream: String, fence: u64, attempts: u64, owner_wait_ms: u64, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
+    226 Warning RequestAbandoned "A caller left before its answer; work for it ends." { request: String, route: String, service: String, key: Option<u16>, upstreams: String, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
+    227 Warning RequestRejected "A request was ended before an upstream was looked for." { request: String, host: String, path: String, status: u16, reason: String, waited_ms: u64, config: u64, age_ms: u64 }
+    228 Info TrafficCounted "What an entry host did since the last such line." { over_ms: u64, answered: u64, refused: u64, failed: u64, abandoned: u64, repeats: u64, in_flight: u64, p50_ms: u64, p99_ms: u64, reasons: String, config: u64, owners: u64, age_ms: u64 }
+    229 Warning MetricsUnavailable "Metrics can't be served; the process goes on without." { address: String, reason: String }
 }
 
 /// An event with its time and host.
@@ -190,6 +195,8 @@
         let values = slog::o!(
             "number" => description.number,
             "host" => stamped.host.clone(),
+            "wall_ms" => stamped.time.wall_ms,
+            "counter" => stamped.time.counter,
             "fields" => fields,
         );
         let log = self.log.new(values);
--- /dev/null
+++ b/src/exposition.rs
@@ -0,0 +1,36 @@
+//! Serves a process's metrics as text over HTTP.
+
+use std::net::SocketAddr;
+
+use axum::http::header::CONTENT_TYPE;
+use axum::routing::get;
+use axum::Router;
+use tokio::net::TcpListener;
+
+use crate::event::{Event, Recorder};
+
+/// The format that Prometheus scrapes.
+const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves what `text` returns at `GET /metrics` until the runtime ends. A process goes on without
+/// metrics when the address can't be used; that is logged.
+pub async fn serve<F>(address: SocketAddr, text: F, recorder: Recorder)
+where
+    F: Fn() -> String + Clone + Send + Sync + 'static,
+{
+    let answer = move || {
+        let text = text();
+        async move { ([(CONTENT_TYPE, TEXT_FORMAT)], text) }
+    };
+    let router = Router::new().route("/metrics", get(answer));
+    let served = match TcpListener::bind(address).await {
+        Ok(listener) => axum::serve(listener, router).await,
+        Err(e) => Err(e),
+    };
+    if let Err(e) = served {
+        recorder.record(Event::MetricsUnavailable {
+            address: address.to_string(),
+            reason: e.to_string(),
+        });
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -74,7 +74,7 @@
         let mut place = Place::take(peer, clock);
         let left = Duration::from_millis(self.left_ms);
         let way_ms = self.way_ms;
-        let attempt = self.exchange(peer, protocol, clock);
+        let attempt = self.exchange(peer, peers, protocol, clock);
         let outcome = match tokio::time::timeout(left, attempt).await {
             Ok(outcome) => outcome,
             Err(_) => {
@@ -85,21 +85,26 @@
         };
         match &outcome {
             Attempt::Answer(_) => place.succeed(peers, way_ms),
-            Attempt::ErrorAnswer(_) | Attempt::Failed(_, Sent::MayHaveRun) => {
-                peer.load().fail(clock.now());
-            }
+            Attempt::ErrorAnswer(_) => peers.note_failure(peer, "error answer", clock),
+            Attempt::Failed(reason, Sent::MayHaveRun) => peers.note_failure(peer, reason, clock),
             Attempt::Failed(_, Sent::NotRun) => place.settle(),
         }
         outcome
     }
 
-    async fn exchange<P: Protocol>(self, peer: &Peer, protocol: &P, clock: &Clock) -> Attempt {
+    async fn exchange<P: Protocol>(
+        self,
+        peer: &Peer,
+        peers: &Peers,
+        protocol: &P,
+        clock: &Clock,
+    ) -> Attempt {
         let proof = match self.repeat {
             Repeat::Idempotent => Proof::Open,
             Repeat::Once => Proof::Within(PROVEN_WITHIN_MS),
         };
         let Ok(mut connection) = peer.pool.take(proof, clock.now()).await else {
-            peer.load().fail_to_connect(clock.now());
+            peers.note_unreachable(peer, clock);
             return Attempt::Failed("can't connect", Sent::NotRun);
         };
         let mut request = Request::new(Full::new(self.body));
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -140,6 +140,22 @@
         now < self.ejected_until
     }
 
+    /// Returns the age of the last report, in milliseconds.
+    pub fn report_age_ms(&self, now: Mono) -> Option<u64> {
+        (self.reported_at > Mono(0)).then(|| now.since(self.reported_at))
+    }
+
+    /// Tells whether the upstream failed so often that it was passed over, and hasn't answered since.
+    pub fn was_ejected(&self) -> bool {
+        self.ejections > 0
+    }
+
+    /// Returns when a request sent now would be answered, in milliseconds; `None` while the upstream
+    /// is passed over.
+    pub fn estimate(&self, now: Mono) -> Option<f64> {
+        (!self.is_ejected(now)).then(|| self.answer_ms(now))
+    }
+
     /// Estimates how many requests the upstream has.
     pub fn total(&self, now: Mono) -> f64 {
         let age_ms = now.since(self.reported_at) as f64;
@@ -220,19 +236,19 @@
     pub answer_ms: f64,
 }
 
-/// Returns the upstream that would answer first. `way_ms` is the time to it and back; ties and near
-/// ties are broken by `draw`, so that entry hosts with the same reports spread out.
-pub fn choose<'a>(
-    views: impl Iterator<Item = (usize, &'a LoadView, f64)>,
-    now: Mono,
+/// Returns the upstream that would answer first. Each comes with its estimate, `None` when it is passed
+/// over, and what the way to it is worth, both in milliseconds. Near ties are broken by `draw`, so that
+/// entry hosts with the same reports spread out.
+pub fn choose(
+    upstreams: impl Iterator<Item = (usize, Option<f64>, f64)>,
     mut draw: impl FnMut() -> f64,
 ) -> Option<Choice> {
     let mut best: Option<(f64, Choice)> = None;
-    for (position, view, way_ms) in views {
-        if view.is_ejected(now) {
+    for (position, estimate, way_ms) in upstreams {
+        let Some(estimate_ms) = estimate else {
             continue;
-        }
-        let answer_ms = view.answer_ms(now) + way_ms;
+        };
+        let answer_ms = estimate_ms + way_ms;
         let cost = answer_ms + draw() * (answer_ms * NEAR_SHARE + NEAR_MS);
         if best.as_ref().is_none_or(|(other, _)| cost < *other) {
             let choice = Choice {
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,178 @@
+//! A caller's request whose body is complete, and how it may end without an upstream's answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, HOST, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
+use rand::RngExt;
+
+use crate::clock::Mono;
+use crate::directory::model::{Key, Route};
+
+use super::peer::Peer;
+use super::protocol::CallerFacts;
+use super::view::View;
+
+/// A request whose body is complete.
+pub(super) struct Call<'a> {
+    pub(super) facts: CallerFacts,
+    pub(super) parts: &'a Parts,
+    pub(super) body: Bytes,
+    pub(super) route: &'a Route,
+    pub(super) service: &'a str,
+    pub(super) key: Option<Key>,
+    pub(super) began: Mono,
+    pub(super) end: Mono,
+}
+
+impl Call<'_> {
+    /// Returns how long the caller waits, in milliseconds.
+    pub(super) fn patience_ms(&self) -> u64 {
+        self.facts.patience_ms.unwrap_or(self.route.timeout_ms)
+    }
+
+    /// Returns the time that passed before, in milliseconds: a caller that has less patience than the
+    /// route allows was here before.
+    pub(super) fn before_ms(&self) -> u64 {
+        self.route.timeout_ms.saturating_sub(self.patience_ms())
+    }
+
+    /// Returns the request's id for logs.
+    pub(super) fn id(&self) -> String {
+        id_text(&self.facts.id)
+    }
+}
+
+/// Whom a request is sent to, and what was believed of it then.
+#[derive(Clone, Debug)]
+pub(super) struct Chosen {
+    pub(super) peer: Arc<Peer>,
+    /// The fencing token of the key's owner; 0 for services that aren't divided by key.
+    pub(super) fence: u64,
+    /// When the upstream was expected to answer, in milliseconds.
+    pub(super) expected_ms: u64,
+    /// The way to it and back, in milliseconds.
+    pub(super) way_ms: u64,
+    /// The age of its last report of load, in milliseconds.
+    pub(super) load_age_ms: Option<u64>,
+}
+
+/// What was done for a request so far.
+#[derive(Debug, Default)]
+pub(super) struct Trail {
+    /// Upstreams that it was sent to, in order.
+    pub(super) tried: Vec<Chosen>,
+    /// The upstream that it wasn't sent to for want of room.
+    pub(super) considered: Option<Chosen>,
+    /// What it waited for its key's owner, in milliseconds.
+    pub(super) owner_wait_ms: u64,
+}
+
+impl Trail {
+    /// Returns the ids of the upstreams that it was sent to.
+    pub(super) fn upstreams(&self) -> String {
+        let ids = self.tried.iter().map(|c| c.peer.incarnation.id.as_str());
+        ids.collect::<Vec<_>>().join(",")
+    }
+
+    /// Tells whether it was sent to this process.
+    pub(super) fn has(&self, incarnation: &crate::directory::model::Incarnation) -> bool {
+        let mut tried = self.tried.iter();
+        tried.any(|c| c.peer.incarnation == *incarnation)
+    }
+}
+
+/// How a request ended without an upstream's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Failure {
+    pub(super) status: StatusCode,
+    pub(super) reason: &'static str,
+    pub(super) retry_after_ms: Option<u64>,
+}
+
+impl Failure {
+    pub(super) fn refused(reason: &'static str, retry_after_ms: u64) -> Failure {
+        Failure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+
+    pub(super) fn failed(status: StatusCode, reason: &'static str) -> Failure {
+        Failure {
+            status,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    pub(super) fn response(&self) -> Response<Full<Bytes>> {
+        let body = Full::new(Bytes::from_static(self.reason.as_bytes()));
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status;
+        if let Some(ms) = self.retry_after_ms {
+            let seconds = format!("{:.3}", ms as f64 / 1_000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+/// Returns a request's id for logs.
+pub(super) fn id_text(id: &Option<HeaderValue>) -> String {
+    let id = id.as_ref().and_then(|v| v.to_str().ok());
+    id.unwrap_or("-").to_string()
+}
+
+/// Returns the host that a request names.
+pub(super) fn host_of(parts: &Parts) -> Option<&str> {
+    let named = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
+    named.or_else(|| parts.uri.authority().map(|a| a.as_str()))
+}
+
+/// Draws a service by the weights of a route.
+pub(super) fn pick_target(route: &Route) -> &str {
+    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
+    let mut left = match total {
+        0 => 0,
+        _ => rand::rng().random_range(0..total),
+    };
+    for target in &route.targets {
+        if left < target.weight {
+            return &target.service;
+        }
+        left -= target.weight;
+    }
+    route.targets.first().map_or("", |t| &t.service)
+}
+
+/// Reads a request's body within the configuration's limit.
+pub(super) async fn read_body(
+    body: Incoming,
+    view: &View,
+    limit_ms: u64,
+) -> Result<Bytes, Failure> {
+    let max = view.config.limits.body_bytes_max as usize;
+    let reading = Limited::new(body, max).collect();
+    let read = tokio::time::timeout(Duration::from_millis(limit_ms), reading).await;
+    match read {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(Failure::failed(status, "body too long"))
+        }
+        Ok(Err(_)) => Err(Failure::failed(StatusCode::BAD_REQUEST, "broken body")),
+        Err(_) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(Failure::failed(status, "body not read in time"))
+        }
+    }
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,13 +20,14 @@
 
 use crate::clock::Clock;
 use crate::event::{Event, Recorder};
+use crate::exposition;
 use crate::host::HostSettings;
 use crate::keys::Tls;
 use crate::lock::lock;
 use crate::transport::Endpoint;
 
 use super::follow::{Follower, KeyCounter};
-use super::journal::RequestJournal;
+use super::ledger::{Ledger, COUNT_EVERY_MS};
 use super::peer::Peers;
 use super::protocol::Protocol;
 use super::proxy::{Inner, Proxy};
@@ -102,7 +103,8 @@
         .change_context(StartError::Network)?;
         let (view_tx, view) = watch::channel(Arc::new(View::default()));
         let counter = Arc::new(KeyCounter::default());
-        let peers = Arc::new(Peers::default());
+        let ledger = Arc::new(Ledger::new(clock, view.clone(), recorder.clone()));
+        let peers = Arc::new(Peers::new(recorder.clone(), ledger.metrics.clone()));
         let seeds = Arc::new(Mutex::new(settings.seeds.clone()));
         let follower = Follower {
             host: settings.host.clone(),
@@ -125,12 +127,17 @@
             answer_kib: Mutex::default(),
             closing: AtomicBool::new(false),
             clock,
-            journal: RequestJournal::new(recorder.clone()),
+            ledger: ledger.clone(),
         });
         let stopping = Arc::new(AtomicBool::new(false));
         let front = listen(callers).await?;
         let ready = listen(readiness).await?;
         tokio::spawn(follower.run());
+        tokio::spawn(count_traffic(ledger.clone()));
+        if let Some(address) = settings.metrics {
+            let text = move || ledger.text();
+            tokio::spawn(exposition::serve(address, text, recorder.clone()));
+        }
         tokio::spawn(serve_readiness(ready, view.clone(), stopping.clone()));
         let (stop, stopped) = watch::channel(false);
         let serving = tokio::spawn(serve_callers(front, proxy.clone(), view, stopped));
@@ -167,6 +174,13 @@
     }
 }
 
+async fn count_traffic(ledger: Arc<Ledger>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(COUNT_EVERY_MS)).await;
+        ledger.flush();
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     TcpListener::bind(address)
         .await
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,9 +3,12 @@
 
 pub mod attempt;
 pub mod balance;
+mod call;
 pub mod daemon;
 pub mod follow;
 pub mod journal;
+pub mod ledger;
+pub mod metrics;
 pub mod peer;
 pub mod protocol;
 pub mod proxy;
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -9,9 +9,11 @@
 use crate::directory::ask::UpstreamSpeed;
 use crate::directory::model::{Incarnation, Upstream};
 use crate::entry::pool::Pool;
+use crate::event::{Event, Recorder};
 use crate::lock::lock;
 
 use super::balance::LoadView;
+use super::metrics::Metrics;
 use super::view::View;
 
 /// The share of an upstream's connections that entry hosts use together; the rest is for probes and
@@ -89,6 +91,10 @@
     pub fn succeed(&mut self, peers: &Peers, way_ms: u64) {
         self.is_settled = true;
         let took_ms = (self.took_ms() - way_ms as f64).max(1.0);
+        let was_ejected = self.peer.load().was_ejected();
+        if was_ejected {
+            peers.note_readmitted(&self.peer);
+        }
         let sample_ms = self
             .peer
             .load()
@@ -123,14 +129,53 @@
 }
 
 /// All upstreams in use, by id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    recorder: Recorder,
+    metrics: Arc<Metrics>,
     by_id: Mutex<BTreeMap<String, Arc<Peer>>>,
     /// How long upstreams work on a request, by service, in milliseconds.
     work_ms: Mutex<BTreeMap<String, f64>>,
 }
 
 impl Peers {
+    /// Returns no peers; what is passed over is recorded.
+    pub fn new(recorder: Recorder, metrics: Arc<Metrics>) -> Peers {
+        Peers {
+            recorder,
+            metrics,
+            by_id: Mutex::default(),
+            work_ms: Mutex::default(),
+        }
+    }
+
+    /// Notes that an upstream failed a request.
+    pub fn note_failure(&self, peer: &Peer, reason: &str, clock: &Clock) {
+        if peer.load().fail(clock.now()) {
+            self.note_ejected(peer, reason);
+        }
+    }
+
+    /// Notes that no connection to an upstream could be opened.
+    pub fn note_unreachable(&self, peer: &Peer, clock: &Clock) {
+        peer.load().fail_to_connect(clock.now());
+        self.note_ejected(peer, "can't connect");
+    }
+
+    fn note_ejected(&self, peer: &Peer, reason: &str) {
+        self.metrics.ejections.inc();
+        self.recorder.record(Event::UpstreamEjected {
+            upstream: peer.incarnation.id.clone(),
+            reason: reason.to_string(),
+        });
+    }
+
+    fn note_readmitted(&self, peer: &Peer) {
+        self.recorder.record(Event::UpstreamReadmitted {
+            upstream: peer.incarnation.id.clone(),
+        });
+    }
+
     /// Returns an upstream's peer, which is made when it is first used.
     pub fn get(&self, upstream: &Upstream, view: &View) -> Arc<Peer> {
         let mut by_id = lock(&self.by_id);
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -6,24 +6,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, HOST, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use rand::RngExt;
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Mono};
-use crate::directory::model::{Key, Repeat, Route, Upstream};
+use crate::directory::model::{Key, Repeat, Upstream};
 use crate::entry::request::strip_hop_by_hop;
-use crate::event::Event;
 use crate::lock::lock;
 
 use super::attempt::{Attempt, Exchange, Sent};
 use super::balance::{admit, choose, TimeLeft};
+use super::call::{host_of, pick_target, read_body, Call, Chosen, Failure, Trail};
 use super::follow::KeyCounter;
-use super::journal::RequestJournal;
+use super::ledger::{Account, Ledger};
 use super::peer::{Peer, Peers};
 use super::protocol::{CallerFacts, Protocol};
 use super::retry::RetryBudget;
@@ -86,51 +86,8 @@
     pub closing: AtomicBool,
     /// Time.
     pub clock: Clock,
-    /// Lines about requests.
-    pub journal: RequestJournal,
-}
-
-/// A request whose body is complete.
-struct Call<'a> {
-    facts: CallerFacts,
-    parts: &'a Parts,
-    body: Bytes,
-    route: &'a Route,
-    service: &'a str,
-    key: Option<Key>,
-    began: Mono,
-    end: Mono,
-}
-
-/// How a request ended without an upstream's answer.
-struct Failure {
-    status: StatusCode,
-    reason: &'static str,
-    retry_after_ms: Option<u64>,
-}
-
-impl Failure {
-    fn refused(reason: &'static str, retry_after_ms: u64) -> Failure {
-        Failure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason,
-            retry_after_ms: Some(retry_after_ms),
-        }
-    }
-
-    fn failed(status: StatusCode, reason: &'static str) -> Failure {
-        Failure {
-            status,
-            reason,
-            retry_after_ms: None,
-        }
-    }
-}
-
-/// Whom a request can be sent to.
-enum Pick {
-    Peer(Arc<Peer>, u64),
-    Nobody,
+    /// The account of requests.
+    pub ledger: Arc<Ledger>,
 }
 
 impl<P: Protocol> Proxy<P> {
@@ -161,23 +118,28 @@
         let (mut parts, body) = req.into_parts();
         let facts = self.inner.protocol.read_request(&parts.headers);
         let view = self.inner.view.borrow().clone();
+        let reject = |parts: &Parts, facts: &CallerFacts, failure: Failure| {
+            self.inner.ledger.reject(parts, facts, failure, began);
+            failure.response()
+        };
         if !view.is_usable() {
-            return respond(&Failure::refused("no configuration", START_RETRY_AFTER_MS));
+            let failure = Failure::refused("no configuration", START_RETRY_AFTER_MS);
+            return reject(&parts, &facts, failure);
         }
-        let host = match host_of(&parts) {
-            Some(host) => host.to_string(),
-            None => return respond(&Failure::failed(StatusCode::BAD_REQUEST, "no host")),
+        let Some(host) = host_of(&parts).map(str::to_string) else {
+            let failure = Failure::failed(StatusCode::BAD_REQUEST, "no host");
+            return reject(&parts, &facts, failure);
         };
         let Some(route) = view.route(&host, parts.uri.path()) else {
-            return respond(&Failure::failed(StatusCode::NOT_FOUND, "no route"));
+            let failure = Failure::failed(StatusCode::NOT_FOUND, "no route");
+            return reject(&parts, &facts, failure);
         };
         let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
         let limit_ms = patience_ms.min(route.timeout_ms);
         let end = began.plus(limit_ms);
-        let read = read_body(body, &view, limit_ms).await;
-        let body = match read {
+        let body = match read_body(body, &view, limit_ms).await {
             Ok(body) => body,
-            Err(failure) => return respond(&failure),
+            Err(failure) => return reject(&parts, &facts, failure),
         };
         strip_hop_by_hop(&mut parts.headers);
         if let Ok(host) = HeaderValue::from_str(&host) {
@@ -199,12 +161,25 @@
             self.inner.counter.note(service, key);
         }
         lock(&self.inner.budget).note_request(service, began);
-        self.run(&call).await
+        let mut account = self.inner.ledger.open(&call);
+        match self.run(&call, &mut account).await {
+            Ok(response) => {
+                account.answer(response.status().as_u16());
+                response
+            }
+            Err(failure) => {
+                account.fail(&failure);
+                failure.response()
+            }
+        }
     }
 
     /// Sends a request to one upstream after another until one answers or nothing may be repeated.
-    async fn run(&self, call: &Call<'_>) -> Response<Full<Bytes>> {
-        let mut tried: Vec<Arc<Peer>> = Vec::new();
+    async fn run(
+        &self,
+        call: &Call<'_>,
+        account: &mut Account<'_>,
+    ) -> Result<Response<Full<Bytes>>, Failure> {
         let mut may_have_run = false;
         let mut kept: Option<Response<Full<Bytes>>> = None;
         let mut refused_fence: Option<u64> = None;
@@ -214,30 +189,34 @@
             if left_ms < TIME_LEFT_MIN_MS {
                 break Failure::failed(StatusCode::GATEWAY_TIMEOUT, "out of time");
             }
-            if tried.len() >= call.route.attempts_max.max(1) as usize {
+            let tries = account.trail.tried.len();
+            if tries >= call.route.attempts_max.max(1) as usize {
                 break Failure::refused("attempts used up", BUSY_RETRY_AFTER_MS);
             }
-            let (peer, fence) = match self.pick(call, &tried, refused_fence).await {
-                Pick::Peer(peer, fence) => (peer, fence),
-                Pick::Nobody if call.key.is_some() => {
+            let picked = self.pick(call, &mut account.trail, refused_fence).await;
+            let chosen = match picked {
+                Some(chosen) => chosen,
+                None if call.key.is_some() => {
                     break Failure::refused("key has no owner in reach", OWNER_RETRY_AFTER_MS)
                 }
-                Pick::Nobody => break Failure::refused("no upstream", BUSY_RETRY_AFTER_MS),
+                None => break Failure::refused("no upstream", BUSY_RETRY_AFTER_MS),
             };
-            if let Err(retry_after_ms) = self.admit(call, &peer, now) {
+            if let Err(retry_after_ms) = self.admit(call, &chosen, now) {
+                account.trail.considered = Some(chosen);
                 break Failure::refused("no room in time", retry_after_ms);
             }
             let entry_hosts = self.inner.view.borrow().entry_hosts;
-            let is_repeat = !tried.is_empty();
-            if is_repeat && !lock(&self.inner.budget).take(call.service, entry_hosts, now) {
-                break Failure::refused("retry budget used up", BUSY_RETRY_AFTER_MS);
+            if tries > 0 {
+                if !lock(&self.inner.budget).take(call.service, entry_hosts, now) {
+                    break Failure::refused("retry budget used up", BUSY_RETRY_AFTER_MS);
+                }
+                account.repeat();
             }
-            tried.push(peer.clone());
-            let attempt = self.attempt(call, &peer).await;
-            let (reason, sent) = match attempt {
+            account.trail.tried.push(chosen.clone());
+            let (reason, sent) = match self.attempt(call, &chosen).await {
                 Attempt::Answer(response) => {
                     self.note_size(&call.route.name, &response);
-                    return response;
+                    return Ok(response);
                 }
                 Attempt::ErrorAnswer(response) => {
                     kept = Some(response);
@@ -245,9 +224,9 @@
                 }
                 Attempt::Failed(reason, sent) => (reason, sent),
             };
-            self.note_attempt(call, &peer, reason, sent, now);
+            account.fail_attempt(&chosen, reason, sent, now);
             match sent {
-                Sent::NotRun => refused_fence = Some(fence),
+                Sent::NotRun => refused_fence = Some(chosen.fence),
                 Sent::MayHaveRun => may_have_run = true,
             }
             if sent == Sent::MayHaveRun && call.route.repeat == Repeat::Once {
@@ -255,63 +234,76 @@
             }
         };
         if let Some(response) = kept {
-            return response;
+            return Ok(response);
         }
-        let failure = if may_have_run && failure.status == StatusCode::SERVICE_UNAVAILABLE {
-            Failure::failed(StatusCode::BAD_GATEWAY, failure.reason)
-        } else {
-            failure
-        };
-        self.note_failure(call, &failure, &tried);
-        respond(&failure)
+        if may_have_run && failure.status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(Failure::failed(StatusCode::BAD_GATEWAY, failure.reason));
+        }
+        Err(failure)
     }
 
     /// Chooses an upstream. A request whose key changes hands waits a little for the new owner.
-    async fn pick(&self, call: &Call<'_>, tried: &[Arc<Peer>], refused: Option<u64>) -> Pick {
+    async fn pick(
+        &self,
+        call: &Call<'_>,
+        trail: &mut Trail,
+        refused: Option<u64>,
+    ) -> Option<Chosen> {
         let Some(key) = call.key else {
-            return self.pick_any(call, tried);
+            return self.pick_any(call, trail);
         };
+        if let Some(chosen) = self.owner(call.service, key, refused) {
+            return Some(chosen);
+        }
+        let began = self.inner.clock.now();
+        let wait_ms = OWNER_WAIT_MS.min(call.end.since(began) / 3);
         let mut view = self.inner.view.clone();
-        let wait_ms = OWNER_WAIT_MS.min(call.end.since(self.inner.clock.now()) / 3);
         let owner = async {
             loop {
-                let current = view.borrow_and_update().clone();
-                if let Some((upstream, fence)) = current.owner(call.service, key) {
-                    let peer = self.inner.peers.get(upstream, &current);
-                    let is_ejected = peer.load().is_ejected(self.inner.clock.now());
-                    if refused != Some(fence) && !is_ejected {
-                        return Pick::Peer(peer, fence);
-                    }
-                }
                 if view.changed().await.is_err() {
-                    return Pick::Nobody;
+                    return None;
+                }
+                if let Some(chosen) = self.owner(call.service, key, refused) {
+                    return Some(chosen);
                 }
             }
         };
+        let waits = &self.inner.ledger.metrics.owner_waits;
+        let _waiting = Waiting::begin(waits);
         let waited = tokio::time::timeout(Duration::from_millis(wait_ms), owner).await;
-        waited.unwrap_or(Pick::Nobody)
+        trail.owner_wait_ms += self.inner.clock.now().since(began);
+        waited.ok().flatten()
+    }
+
+    /// Returns a key's owner, unless it refused with this fencing token already or is passed over.
+    fn owner(&self, service: &str, key: Key, refused: Option<u64>) -> Option<Chosen> {
+        let view = self.inner.view.borrow().clone();
+        let (upstream, fence) = view.owner(service, key)?;
+        let peer = self.inner.peers.get(upstream, &view);
+        let now = self.inner.clock.now();
+        if refused == Some(fence) || peer.load().is_ejected(now) {
+            return None;
+        }
+        Some(self.choose_peer(peer, fence, now))
     }
 
-    fn pick_any(&self, call: &Call<'_>, tried: &[Arc<Peer>]) -> Pick {
+    fn pick_any(&self, call: &Call<'_>, trail: &Trail) -> Option<Chosen> {
         let now = self.inner.clock.now();
         let view = self.inner.view.borrow().clone();
         let list = view.ready(call.service);
-        let is_tried = |u: &Upstream| tried.iter().any(|p| p.incarnation == u.incarnation);
         let peers: Vec<Arc<Peer>> = list
             .iter()
-            .filter(|u| !is_tried(u))
+            .filter(|u: &&Upstream| !trail.has(&u.incarnation))
             .map(|u| self.inner.peers.get(u, &view))
             .collect();
-        let loads: Vec<_> = peers.iter().map(|p| p.load().clone()).collect();
         let answer_kib = self.answer_kib(&call.route.name);
-        let ways = peers.iter().map(|p| self.way_cost_ms(&p.zone, answer_kib));
-        let views = loads.iter().zip(ways).enumerate();
-        let views = views.map(|(n, (load, way_ms))| (n, load, way_ms));
+        let views = peers.iter().enumerate().map(|(n, peer)| {
+            let estimate = peer.load().estimate(now);
+            (n, estimate, self.way_cost_ms(&peer.zone, answer_kib))
+        });
         let mut rng = rand::rng();
-        match choose(views, now, || rng.random_range(0.0..1.0)) {
-            Some(choice) => Pick::Peer(peers[choice.position].clone(), 0),
-            None => Pick::Nobody,
-        }
+        let choice = choose(views, || rng.random_range(0.0..1.0))?;
+        Some(self.choose_peer(peers[choice.position].clone(), 0, now))
     }
 
     /// Returns what the way to a zone is worth, in milliseconds of waiting.
@@ -351,18 +343,28 @@
         }
     }
 
-    /// Tells whether `peer` can answer in time, or when the caller may come back. A caller that has
-    /// less patience than the route allows was here before: that time has passed already.
-    fn admit(&self, call: &Call<'_>, peer: &Peer, now: Mono) -> Result<(), u64> {
-        let patience_ms = call.facts.patience_ms.unwrap_or(call.route.timeout_ms);
-        let before_ms = call.route.timeout_ms.saturating_sub(patience_ms);
-        let passed_ms = before_ms + now.since(call.began);
+    /// Tells whether `chosen` can answer in time, or when the caller may come back.
+    fn admit(&self, call: &Call<'_>, chosen: &Chosen, now: Mono) -> Result<(), u64> {
+        let passed_ms = call.before_ms() + now.since(call.began);
         let left = TimeLeft {
             objective_ms: call.route.objective_ms as f64 - passed_ms as f64,
             deadline_ms: call.end.since(now) as f64,
         };
-        let way_ms = self.round_trip_ms(&peer.zone) as f64;
-        admit(&peer.load(), way_ms, left, now)
+        admit(&chosen.peer.load(), chosen.way_ms as f64, left, now)
+    }
+
+    fn choose_peer(&self, peer: Arc<Peer>, fence: u64, now: Mono) -> Chosen {
+        let (expected_ms, load_age_ms) = {
+            let load = peer.load();
+            (load.answer_ms(now) as u64, load.report_age_ms(now))
+        };
+        Chosen {
+            way_ms: self.round_trip_ms(&peer.zone),
+            peer,
+            fence,
+            expected_ms,
+            load_age_ms,
+        }
     }
 
     fn is_near(&self, zone: &str) -> bool {
@@ -370,9 +372,10 @@
         regions.get(zone) == regions.get(&self.inner.zone)
     }
 
-    async fn attempt(&self, call: &Call<'_>, peer: &Arc<Peer>) -> Attempt {
+    async fn attempt(&self, call: &Call<'_>, chosen: &Chosen) -> Attempt {
+        let Chosen { peer, way_ms, .. } = chosen;
+        let way_ms = *way_ms;
         let left_ms = call.end.since(self.inner.clock.now());
-        let way_ms = self.round_trip_ms(&peer.zone);
         let mut headers = call.parts.headers.clone();
         let budget_ms = left_ms.saturating_sub(way_ms / 2).max(1);
         let upstream = &peer.incarnation.id;
@@ -394,98 +397,20 @@
             .run(peer, &inner.peers, &inner.protocol, &inner.clock)
             .await
     }
-
-    fn note_attempt(
-        &self,
-        call: &Call<'_>,
-        peer: &Peer,
-        reason: &'static str,
-        sent: Sent,
-        began: Mono,
-    ) {
-        let now = self.inner.clock.now();
-        let event = Event::AttemptFailed {
-            request: text(&call.facts.id),
-            upstream: peer.incarnation.id.clone(),
-            reason: reason.to_string(),
-            sent: sent == Sent::MayHaveRun,
-            waited_ms: now.since(began),
-        };
-        self.inner.journal.record(event, now);
-    }
-
-    fn note_failure(&self, call: &Call<'_>, failure: &Failure, tried: &[Arc<Peer>]) {
-        let now = self.inner.clock.now();
-        let view = self.inner.view.borrow().clone();
-        let ids: Vec<&str> = tried.iter().map(|p| p.incarnation.id.as_str()).collect();
-        let event = Event::RequestFailed {
-            request: text(&call.facts.id),
-            route: call.route.name.clone(),
-            service: call.service.to_string(),
-            status: failure.status.as_u16(),
-            reason: failure.reason.to_string(),
-            upstreams: ids.join(","),
-            waited_ms: now.since(call.began),
-            config: view.versions.config,
-            age_ms: now.since(view.confirmed_at),
-        };
-        self.inner.journal.record(event, now);
-    }
-}
-
-fn text(id: &Option<HeaderValue>) -> String {
-    let id = id.as_ref().and_then(|v| v.to_str().ok());
-    id.unwrap_or("-").to_string()
 }
 
-fn host_of(parts: &Parts) -> Option<&str> {
-    let named = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
-    named.or_else(|| parts.uri.authority().map(|a| a.as_str()))
-}
+/// Counts a request that waits until it is dropped.
+struct Waiting<'a>(&'a prometheus_client::metrics::gauge::Gauge);
 
-/// Draws a service by the weights of a route.
-fn pick_target(route: &Route) -> &str {
-    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
-    let mut left = match total {
-        0 => 0,
-        _ => rand::rng().random_range(0..total),
-    };
-    for target in &route.targets {
-        if left < target.weight {
-            return &target.service;
-        }
-        left -= target.weight;
+impl Waiting<'_> {
+    fn begin(gauge: &prometheus_client::metrics::gauge::Gauge) -> Waiting<'_> {
+        gauge.inc();
+        Waiting(gauge)
     }
-    route.targets.first().map_or("", |t| &t.service)
 }
 
-async fn read_body(body: Incoming, view: &View, limit_ms: u64) -> Result<Bytes, Failure> {
-    let max = view.config.limits.body_bytes_max as usize;
-    let reading = Limited::new(body, max).collect();
-    let read = tokio::time::timeout(Duration::from_millis(limit_ms), reading).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Failure::failed(status, "body too long"))
-        }
-        Ok(Err(_)) => Err(Failure::failed(StatusCode::BAD_REQUEST, "broken body")),
-        Err(_) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            Err(Failure::failed(status, "body not read in time"))
-        }
-    }
-}
-
-fn respond(failure: &Failure) -> Response<Full<Bytes>> {
-    let body = Full::new(Bytes::from_static(failure.reason.as_bytes()));
-    let mut response = Response::new(body);
-    *response.status_mut() = failure.status;
-    if let Some(ms) = failure.retry_after_ms {
-        let seconds = format!("{:.3}", ms as f64 / 1_000.0);
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            response.headers_mut().insert(RETRY_AFTER, value);
-        }
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
     }
-    response
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -37,6 +37,7 @@
     callers: String,
     readiness: String,
     operators: String,
+    metrics: String,
     seeds: Vec<String>,
     data_folder: Option<String>,
     first_start: bool,
@@ -65,6 +66,8 @@
     pub readiness: Option<SocketAddr>,
     /// Where upstreams and operators connect.
     pub operators: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
     /// Where other processes talk, of hosts that may know the rest. The peer port is the same on all
     /// hosts.
     pub seeds: Vec<SocketAddr>,
@@ -126,6 +129,7 @@
         let callers = address("callers", &raw.callers, &mut faults);
         let readiness = address("readiness", &raw.readiness, &mut faults);
         let operators = address("operators", &raw.operators, &mut faults);
+        let metrics = address("metrics", &raw.metrics, &mut faults);
         if raw.peer_address.is_empty() {
             faults.push("peer_address: is missing".to_string());
         }
@@ -164,6 +168,7 @@
             callers,
             readiness,
             operators,
+            metrics,
             seeds,
             data_folder: raw.data_folder.map(PathBuf::from),
             first_start: raw.first_start,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,16 +4,19 @@
 //! input; the daemons in [`control`] and [`entry`] connect it to sockets, disks and clocks.
 
 pub mod cell;
+pub mod chart;
 pub mod claim;
 pub mod client;
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod diagnosis;
 pub mod directory;
 pub mod document;
 pub mod duration;
 pub mod entry;
 pub mod event;
+pub mod exposition;
 pub mod gateway;
 pub mod history;
 pub mod host;
@@ -22,9 +25,11 @@
 pub mod lab;
 pub mod load;
 pub mod lock;
+pub mod logs;
 pub mod metrics;
 pub mod platform;
 pub mod raft;
+pub mod report;
 pub mod schema;
 pub mod selector;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,11 +15,12 @@
   check     Check a settings file or a configuration document
   demo      Run a whole deployment in this process, with load and a loss
   directory Run a replica of the directory on a host with a disk
-  explain   Tell who owns a key or what an upstream holds, and why
+  explain   Tell who owns a key, what an upstream holds, or what became of a request
   gateway   Serve callers on an entry host, following the directory
   keys      Make a deployment's certificates and the operators' token
   load      Offer load to entry hosts and measure what comes back
   plan      Tell what a configuration document would change
+  report    Draw a day's course from captured logs
   slopes    Measure what control costs as it grows
   standin   Run stand-in upstreams
   status    Show cells, leases and services
@@ -61,6 +62,7 @@
         "keys" => cmd::keys::run(argv),
         "load" => cmd::load::run(argv),
         "plan" => cmd::plan::run(argv),
+        "report" => cmd::report::run(argv),
         "slopes" => cmd::slopes::run(argv),
         "standin" => cmd::standin::run(argv),
         "status" => cmd::status::run(argv),
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -10,7 +10,7 @@
 use carobreel::clock::Clock;
 use carobreel::daemon::silent;
 use carobreel::directory::daemon::{Directory, Settings};
-use carobreel::event::Recorder;
+use carobreel::event::{merge, Recorder, Stamped};
 use carobreel::gateway::daemon::Gateway;
 use carobreel::host::HostSettings;
 use carobreel::http::{send, Answer, Call, HttpError};
@@ -35,6 +35,7 @@
     network: u8,
     pub gateway: Option<Gateway<Headers>>,
     directory: Option<Directory>,
+    recorders: Vec<Recorder>,
     _folder: TempDir,
 }
 
@@ -60,6 +61,7 @@
         let listener = TcpListener::bind(at(network, 1, OPERATORS_PORT))
             .await
             .unwrap();
+        let mut recorders = vec![recorder.clone()];
         let router = api::router(directory.handle(), recorder);
         tokio::spawn(async move { axum::serve(listener, router).await });
         let text = json!({
@@ -72,11 +74,13 @@
         });
         let host = HostSettings::parse(&text.to_string()).unwrap();
         let recorder = Recorder::new("e1", silent());
+        recorders.push(recorder.clone());
         let gateway = Gateway::spawn(&host, &tls, Headers, clock, recorder);
         Bed {
             network,
             gateway: Some(gateway.await.unwrap()),
             directory: Some(directory),
+            recorders,
             _folder: folder,
         }
     }
@@ -124,6 +128,11 @@
         send(self.callers(), call).await
     }
 
+    /// Returns what both processes logged, in causal order.
+    pub fn events(&self) -> Vec<Stamped> {
+        merge(self.recorders.iter().map(Recorder::recent).collect())
+    }
+
     /// Stops the replica, as a crash of the control host.
     pub fn stop_directory(&mut self) {
         if let Some(directory) = self.directory.take() {
--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -19,7 +19,7 @@
     let mut text = json!({
         "host": name, "zone": "a", "zones": { "a": "north" }, "peer_address": at(n, 21_800),
         "seeds": seeds.iter().map(|s| at(*s, 21_803)).collect::<Vec<_>>(),
-        "first_start": first_start, "losses_tolerated": 0,
+        "first_start": first_start, "losses_tolerated": 0, "metrics": at(n, 21_804),
     });
     if is_entry {
         text["callers"] = json!(at(n, 21_801));
@@ -68,6 +68,67 @@
     answer.is_some_and(|a| a.status == 200)
 }
 
+/// Metrics count what failed, and the lines of both processes tell why.
+fn failed_requests_are_explained(dir: &Workdir) {
+    let callers = "127.78.0.101:21801".parse().unwrap();
+    let request = |path: &str, id: &str| {
+        let call = Call::get(path).header("host", "h.example");
+        let answer = send(callers, call.header("carobreel-request-id", id)).unwrap();
+        answer.status.as_u16()
+    };
+    assert_eq!(request("/a/x", "f00d01"), 503);
+    assert_eq!(request("/b/x", "f00d02"), 404);
+    let scrape = |address: &str| {
+        let answer = send(address.parse().unwrap(), Call::get("/metrics"));
+        answer.unwrap().text()
+    };
+    let counts = scrape("127.78.0.101:21804");
+    for line in [
+        "carobreel_gateway_requests_total{route=\"a\",service=\"maps\",outcome=\"refused\"} 1",
+        "carobreel_gateway_requests_total{route=\"-\",service=\"-\",outcome=\"failed\"} 1",
+        "carobreel_gateway_refusals_total{reason=\"no upstream\"} 1",
+    ] {
+        assert!(counts.contains(line), "{line} in {counts}");
+    }
+    let counts = scrape("127.78.0.1:21804");
+    for line in [
+        "carobreel_directory_leads 1",
+        "carobreel_directory_config_version 3",
+    ] {
+        assert!(counts.contains(line), "{line} in {counts}");
+    }
+    wait_for("both requests are logged", READY, || {
+        let text = log(dir, "e1");
+        text.contains("f00d01") && text.contains("f00d02")
+    });
+    let explain =
+        |id: &str| dir.stdout(&["explain", "--request", id, "--logs", "e1.log", "c1.log"]);
+    let text = explain("f00d01");
+    assert!(
+        text.contains("Cause: No upstream of maps was left to ask"),
+        "{text}"
+    );
+    let text = explain("f00d02");
+    assert!(
+        text.contains("Cause: No route of configuration 3"),
+        "{text}"
+    );
+    let unknown = dir.run(&["explain", "--request", "none", "--logs", "e1.log"]);
+    assert_eq!(unknown.status.code(), Some(1));
+    let text = dir.stdout(&[
+        "timeline",
+        "--text",
+        "RoutesDecided",
+        "--logs",
+        "e1.log",
+        "c1.log",
+    ]);
+    assert!(text.contains("\"version\":3"), "{text}");
+    dir.stdout(&["report", "--out", "day.html", "e1.log", "c1.log"]);
+    let page = std::fs::read_to_string(dir.path().join("day.html")).unwrap();
+    assert!(page.contains("leads the directory"), "{page}");
+}
+
 #[test]
 fn settings_change_seeds_and_bad_ones_change_nothing() {
     let dir = Workdir::new();
@@ -114,6 +175,8 @@
     );
     assert_eq!(read.unwrap().text(), document.to_string());
 
+    failed_requests_are_explained(&dir);
+
     signal(&entry, "TERM");
     wait_for("it isn't ready any more", Duration::from_secs(1), || {
         !ready()
