Pass long answers on as they come; hold callers' heads to the configured limits

Cause: answers were held whole in memory, without a bound; maxHeaderBytes and headerTimeout were read and not enforced. Now 1 MiB of an answer is held back (so a broken one can still be asked for elsewhere), the rest is passed on with the end of the caller's time as its limit; a head over its size gets 431, a slow one loses its connection, counted from its first byte, while idle connections keep their own limit. Tests (tests/bodies.rs): long answers whole and cut off, early answers to 3 MiB bodies, bodies at and over the limit, heads too long and too slow. Ruled out: the library's own time limit for heads, which also runs while a connection is idle.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,19 +1,20 @@
 //! One request to one upstream, and what its outcome proves.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use crate::clock::Clock;
 use crate::directory::model::Repeat;
-use crate::entry::pool::{Connection, Proof};
+use crate::entry::pool::Proof;
 use crate::entry::request::strip_hop_by_hop;
 
+use super::body::{self, ReplyBody, Source};
 use super::peer::{Peer, Peers, Place};
 use super::protocol::{AnswerFacts, Protocol};
 
@@ -33,10 +34,10 @@
 /// The outcome of one attempt.
 #[derive(Debug)]
 pub enum Attempt {
-    /// The upstream's whole answer.
-    Answer(Response<Full<Bytes>>),
-    /// The upstream's whole answer, which says that it failed.
-    ErrorAnswer(Response<Full<Bytes>>),
+    /// The upstream's answer: whole, or so long that the rest is passed on as it comes.
+    Answer(Response<ReplyBody>),
+    /// The same, and it says that the upstream failed.
+    ErrorAnswer(Response<ReplyBody>),
     /// No answer, and why.
     Failed(&'static str, Sent),
 }
@@ -94,7 +95,7 @@
 
     async fn exchange<P: Protocol>(
         self,
-        peer: &Peer,
+        peer: &Arc<Peer>,
         peers: &Peers,
         protocol: &P,
         clock: &Clock,
@@ -103,6 +104,7 @@
             Repeat::Idempotent => Proof::Open,
             Repeat::Once => Proof::Within(PROVEN_WITHIN_MS),
         };
+        let began = Instant::now();
         let Ok(mut connection) = peer.pool.take(proof, clock.now()).await else {
             peers.note_unreachable(peer, clock);
             return Attempt::Failed("can't connect", Sent::NotRun);
@@ -129,22 +131,22 @@
             let total = load.running + load.waiting;
             peer.load().report(total, load.slots, now);
         }
-        read_answer(response, facts, peer, connection, clock).await
+        let source = Source {
+            peer: peer.clone(),
+            connection,
+            idle_ms: facts.idle_ms,
+            clock: *clock,
+            left: Duration::from_millis(self.left_ms).saturating_sub(began.elapsed()),
+        };
+        read_answer(response, facts, source).await
     }
 }
 
-async fn read_answer(
-    response: Response<Incoming>,
-    facts: AnswerFacts,
-    peer: &Peer,
-    connection: Connection,
-    clock: &Clock,
-) -> Attempt {
+async fn read_answer(response: Response<Incoming>, facts: AnswerFacts, source: Source) -> Attempt {
     let (mut head, body) = response.into_parts();
-    let Ok(body) = body.collect().await else {
+    let Ok(body) = body::read(body, source).await else {
         return Attempt::Failed("answer cut off", Sent::MayHaveRun);
     };
-    peer.pool.put(connection, facts.idle_ms, clock.now());
     if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Attempt::Failed("upstream refused", Sent::NotRun);
     }
@@ -153,7 +155,7 @@
     }
     strip_hop_by_hop(&mut head.headers);
     let is_error = head.status.is_server_error();
-    let response = Response::from_parts(head, Full::new(body.to_bytes()));
+    let response = Response::from_parts(head, body);
     if is_error {
         Attempt::ErrorAnswer(response)
     } else {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
@@ -14,6 +14,7 @@
 use crate::clock::Mono;
 use crate::directory::model::{Key, Route};
 
+use super::body::ReplyBody;
 use super::peer::Peer;
 use super::protocol::CallerFacts;
 use super::view::View;
@@ -112,9 +113,9 @@
         }
     }
 
-    pub(super) fn response(&self) -> Response<Full<Bytes>> {
-        let body = Full::new(Bytes::from_static(self.reason.as_bytes()));
-        let mut response = Response::new(body);
+    pub(super) fn response(&self) -> Response<ReplyBody> {
+        let body = Bytes::from_static(self.reason.as_bytes());
+        let mut response = Response::new(ReplyBody::whole(body));
         *response.status_mut() = self.status;
         if let Some(ms) = self.retry_after_ms {
             let seconds = format!("{:.3}", ms as f64 / 1_000.0);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -27,6 +27,7 @@
 use crate::transport::Endpoint;
 
 use super::follow::{Follower, KeyCounter};
+use super::intake::Intake;
 use super::ledger::{Ledger, COUNT_EVERY_MS};
 use super::peer::Peers;
 use super::protocol::Protocol;
@@ -47,6 +48,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 /// How long a connection may be idle before a configuration tells.
 const IDLE_FIRST: Duration = Duration::from_secs(30);
+/// The HTTP library reads into a buffer of this size or more, in bytes.
+const HEAD_BYTES_LEAST: usize = 8_192;
 
 /// Why a gateway can't start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -215,23 +218,34 @@
 ) {
     // Without it answers are only a little later.
     let _ = stream.set_nodelay(true);
-    let idle = {
+    // What a connection is held to is read when it is opened.
+    let (limits, idle) = {
         let view = view.borrow();
-        if view.is_usable() {
-            Duration::from_millis(view.config.limits.idle_timeout_ms) + IDLE_MARGIN
-        } else {
-            IDLE_FIRST
-        }
+        let limits = view.config.limits;
+        let idle = match view.is_usable() {
+            true => Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN,
+            false => IDLE_FIRST,
+        };
+        (limits, idle)
     };
+    let head_bytes_max = (limits.header_bytes_max as usize).max(HEAD_BYTES_LEAST);
+    let head_limit = Duration::from_millis(limits.header_timeout_ms);
+    let (intake, phase) = Intake::new(stream, head_limit);
     let proxy = proxy.clone();
     let service = service_fn(move |req| {
-        let proxy = proxy.clone();
-        async move { Ok::<_, Infallible>(proxy.serve(req).await) }
+        let (proxy, phase) = (proxy.clone(), phase.clone());
+        async move {
+            phase.begin_request();
+            let response = proxy.serve(req).await;
+            phase.end_request();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .serve_connection(TokioIo::new(stream), service);
+        .max_buf_size(head_bytes_max)
+        .serve_connection(TokioIo::new(intake), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
         // A caller that breaks its connection has no one to be told.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,9 +3,11 @@
 
 pub mod attempt;
 pub mod balance;
+pub mod body;
 mod call;
 pub mod daemon;
 pub mod follow;
+pub mod intake;
 pub mod journal;
 pub mod ledger;
 pub mod metrics;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -5,9 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -21,6 +19,7 @@
 
 use super::attempt::{Attempt, Exchange, Sent};
 use super::balance::{admit, choose, TimeLeft};
+use super::body::ReplyBody;
 use super::call::{host_of, pick_target, read_body, Call, Chosen, Failure, Trail};
 use super::follow::KeyCounter;
 use super::ledger::{Account, Ledger};
@@ -104,7 +103,7 @@
     }
 
     /// Answers one request.
-    pub async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    pub async fn serve(&self, req: Request<Incoming>) -> Response<ReplyBody> {
         let mut response = self.answer(req).await;
         if self.inner.closing.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
@@ -113,7 +112,7 @@
         response
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, req: Request<Incoming>) -> Response<ReplyBody> {
         let began = self.inner.clock.now();
         let (mut parts, body) = req.into_parts();
         let facts = self.inner.protocol.read_request(&parts.headers);
@@ -179,9 +178,9 @@
         &self,
         call: &Call<'_>,
         account: &mut Account<'_>,
-    ) -> Result<Response<Full<Bytes>>, Failure> {
+    ) -> Result<Response<ReplyBody>, Failure> {
         let mut may_have_run = false;
-        let mut kept: Option<Response<Full<Bytes>>> = None;
+        let mut kept: Option<Response<ReplyBody>> = None;
         let mut refused_fence: Option<u64> = None;
         let failure = loop {
             let now = self.inner.clock.now();
@@ -324,8 +323,8 @@
             .unwrap_or(0.0)
     }
 
-    fn note_size(&self, route: &str, response: &Response<Full<Bytes>>) {
-        let kib = response.body().size_hint().lower() as f64 / 1_024.0;
+    fn note_size(&self, route: &str, response: &Response<ReplyBody>) {
+        let kib = response.body().known_bytes() as f64 / 1_024.0;
         let mut sizes = lock(&self.inner.answer_kib);
         match sizes.get_mut(route) {
             Some(mean) => *mean += (kib - *mean) * SIZE_WEIGHT,
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -180,7 +180,10 @@
             { "name": "files", "healthPath": "/health", "maxConnections": 50 },
             { "name": "maps", "healthPath": "/health", "maxConnections": 50, "sharded": true },
         ],
-        "limits": { "maxBodyBytes": 4096, "idleTimeout": "15000ms" },
+        "limits": {
+            "maxHeaderBytes": 10_000, "headerTimeout": "700ms", "maxBodyBytes": 4 << 20,
+            "idleTimeout": "15000ms",
+        },
     })
 }
 
--- a/tests/bed/upstream.rs
+++ b/tests/bed/upstream.rs
@@ -35,6 +35,12 @@
     FailsLikeShedding,
     /// Leaves the stamp out.
     Unstamped,
+    /// Answers before it has read the request's body, and reads on afterwards.
+    Early,
+    /// Answers with a body of this many bytes.
+    Long(usize),
+    /// The same, and breaks off shortly before its end.
+    LongTruncated(usize),
     /// Takes this long, in milliseconds.
     Slow(u64),
 }
@@ -46,6 +52,8 @@
     pub runs: Vec<(String, Instant)>,
     /// Heads of all requests, the health path and grants left out.
     pub heads: Vec<String>,
+    /// Lengths of bodies of requests, and whether all of their bytes are the same.
+    pub bodies: Vec<(usize, bool)>,
     /// Requests whose connection was closed while it worked.
     pub abandoned: Vec<Instant>,
     pub grants: u64,
@@ -152,16 +160,26 @@
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut buf = Vec::new();
         loop {
-            let Some((head, body)) = read_request(&mut stream, &mut buf).await? else {
+            let Some(head) = read_head(&mut stream, &mut buf).await? else {
                 return Ok(());
             };
             let path = head.split(' ').nth(1).unwrap_or("").to_string();
-            if path == "/v1/grant" || path == "/v1/release" {
+            let is_about_keys = path == "/v1/grant" || path == "/v1/release";
+            let is_early = *self.manner.lock().unwrap() == Manner::Early && !is_about_keys;
+            if is_early {
+                self.answer(&mut stream, &head).await?;
+            }
+            let Some(body) = read_body(&mut stream, &mut buf, &head).await? else {
+                return Ok(());
+            };
+            if is_about_keys {
                 let answer = self.keys(&head, &path, &body);
                 stream.write_all(answer.as_bytes()).await?;
                 continue;
             }
-            if !self.answer(&mut stream, &head).await? {
+            let is_even = body.iter().all(|b| *b == body[0]);
+            self.seen.lock().unwrap().bodies.push((body.len(), is_even));
+            if !is_early && !self.answer(&mut stream, &head).await? {
                 return Ok(());
             }
         }
@@ -256,7 +274,14 @@
             }
             Manner::FailsLikeShedding => (respond(503, &stamp, ""), true),
             Manner::Unstamped => (respond(200, "", &body), true),
-            Manner::Well | Manner::Sheds | Manner::Slow(_) => (respond(200, &stamp, &body), true),
+            Manner::Long(len) => (respond(200, &stamp, &"y".repeat(len)), true),
+            Manner::LongTruncated(len) => {
+                let whole = respond(200, &stamp, &"y".repeat(len));
+                (whole[..whole.len() - 9].to_string(), false)
+            }
+            Manner::Well | Manner::Early | Manner::Sheds | Manner::Slow(_) => {
+                (respond(200, &stamp, &body), true)
+            }
         };
         stream.write_all(bytes.as_bytes()).await?;
         if manner == Manner::Unframed {
@@ -289,25 +314,36 @@
     })
 }
 
-async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> std::io::Result<Option<(String, Vec<u8>)>> {
+async fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> std::io::Result<Option<String>> {
     loop {
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buf[..end]).into_owned();
-            let len: usize = header(&head, "content-length").map_or(0, |n| n.parse().unwrap());
-            if buf.len() >= end + 4 + len {
-                let body = buf[end + 4..end + 4 + len].to_vec();
-                buf.drain(..end + 4 + len);
-                return Ok(Some((head, body)));
-            }
+            buf.drain(..end + 4);
+            return Ok(Some(head));
         }
-        let mut chunk = [0; 4096];
-        let read = stream.read(&mut chunk).await?;
-        if read == 0 {
+        if !read_more(stream, buf).await? {
             return Ok(None);
         }
-        buf.extend_from_slice(&chunk[..read]);
     }
 }
+
+async fn read_body(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    head: &str,
+) -> std::io::Result<Option<Vec<u8>>> {
+    let len: usize = header(head, "content-length").map_or(0, |n| n.parse().unwrap());
+    while buf.len() < len {
+        if !read_more(stream, buf).await? {
+            return Ok(None);
+        }
+    }
+    Ok(Some(buf.drain(..len).collect()))
+}
+
+async fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>) -> std::io::Result<bool> {
+    let mut chunk = [0; 65_536];
+    let read = stream.read(&mut chunk).await?;
+    buf.extend_from_slice(&chunk[..read]);
+    Ok(read > 0)
+}
