Let requests that are late already use only half of a queue

Cause (a hot key above its owner's capacity, both sites): a caller that comes back after its objective has passed was admitted while the queue ended before its deadline; such requests filled the queue beyond the objective, and those that could still be in time were refused or became late themselves. Now a request that is late in any case is admitted only while the queue's wait is below half of the objective, or there is a free slot. Test: the example of admit() has the case; it failed before. Ruled out: refusing late ones altogether (a free slot should serve them); putting those that come back first (as many are refused twice, and the others are late too).

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -15,6 +15,9 @@
 /// Estimates that differ by less than this share and this time, in milliseconds, count as equal.
 const NEAR_SHARE: f64 = 0.1;
 const NEAR_MS: f64 = 4.0;
+/// A request whose objective has passed may use this share of the queue that others may: it is late in
+/// any case, and behind it those would be late that aren't yet.
+const LATE_SHARE: f64 = 0.5;
 /// How much of a queue's estimated wait is believed: reports are some answers old.
 const CERTAINTY: f64 = 0.9;
 /// When a caller may come back to a queue that is full: this much after there should be room, in
@@ -189,7 +192,9 @@
 /// What is known of the time that a request has.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TimeLeft {
-    /// Until its answer earns less, in milliseconds; not above 0 once that has passed.
+    /// Within how long it is to be answered, in milliseconds.
+    pub whole_objective_ms: f64,
+    /// What is left of that, in milliseconds; not above 0 once it has passed.
     pub objective_ms: f64,
     /// Until nobody waits for it any more, in milliseconds.
     pub deadline_ms: f64,
@@ -207,8 +212,17 @@
 /// use carobreel::gateway::balance::{admit, LoadView, TimeLeft};
 ///
 /// let mut view = LoadView::new(3, 90.0);
-/// let left = TimeLeft { objective_ms: 400.0, deadline_ms: 1_000.0 };
+/// let left = TimeLeft {
+///     whole_objective_ms: 400.0,
+///     objective_ms: 400.0,
+///     deadline_ms: 1_000.0,
+/// };
 /// assert_eq!(admit(&view, 2.0, left, Mono(0)), Ok(()));
+/// view.report(7, 3, Mono(0));
+/// assert_eq!(admit(&view, 2.0, left, Mono(0)), Ok(()));
+/// // It was here before, and is late already.
+/// let late = TimeLeft { objective_ms: -50.0, deadline_ms: 550.0, ..left };
+/// assert!(admit(&view, 2.0, late, Mono(0)).is_err());
 /// view.report(15, 3, Mono(0));
 /// assert!(admit(&view, 2.0, left, Mono(0)).is_err());
 /// ```
@@ -218,7 +232,7 @@
     let limit_ms = if left.objective_ms > 0.0 {
         left.objective_ms.min(left.deadline_ms)
     } else {
-        left.deadline_ms
+        left.deadline_ms.min(left.whole_objective_ms * LATE_SHARE)
     };
     if answer_ms <= limit_ms || (has_room && answer_ms <= left.deadline_ms) {
         return Ok(());
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -346,6 +346,7 @@
     fn admit(&self, call: &Call<'_>, chosen: &Chosen, now: Mono) -> Result<(), u64> {
         let passed_ms = call.before_ms() + now.since(call.began);
         let left = TimeLeft {
+            whole_objective_ms: call.route.objective_ms as f64,
             objective_ms: call.route.objective_ms as f64 - passed_ms as f64,
             deadline_ms: call.end.since(now) as f64,
         };
