Send requests of a split route to the service divided by key when the key's owner is near

The weights say how many requests go there, not which: those with a near owner use the weight up first, by running shares of distances that begin with the places of upstreams.

--- a/src/event.rs
+++ b/src/event.rs
@@ -119,10 +119,10 @@
     222 Warning RequestsUnlogged "Lines about requests were left out to bound the log." { count: u64 }
     223 Info SettingsChanged "The settings file changed and was read again." { seeds: String }
     224 Warning SettingsRefused "The settings file changed and can't be used; the former settings stay." { reason: String }
-    225 Info RequestServed "A request got an upstream's answer; a sample of them is written." { request: String, route: String, service: String, key: Option<u16>, status: u16, upstream: String, fence: u64, attempts: u64, owner_wait_ms: u64, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
+    225 Info RequestServed "A request got an upstream's answer; a sample of them is written." { request: String, route: String, service: String, key: Option<u16>, status: u16, upstream: String, distance: String, bytes: u64, fence: u64, attempts: u64, owner_wait_ms: u64, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
     226 Warning RequestAbandoned "A caller left before its answer; work for it ends." { request: String, route: String, service: String, key: Option<u16>, upstreams: String, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
     227 Warning RequestRejected "A request was ended before an upstream was looked for." { request: String, host: String, path: String, status: u16, reason: String, waited_ms: u64, config: u64, age_ms: u64 }
-    228 Info TrafficCounted "What an entry host did since the last such line." { over_ms: u64, answered: u64, refused: u64, failed: u64, abandoned: u64, repeats: u64, in_flight: u64, p50_ms: u64, p99_ms: u64, reasons: String, config: u64, owners: u64, age_ms: u64 }
+    228 Info TrafficCounted "What an entry host did since the last such line." { over_ms: u64, answered: u64, refused: u64, failed: u64, abandoned: u64, repeats: u64, in_flight: u64, p50_ms: u64, p99_ms: u64, zone_kib: u64, region_kib: u64, far_kib: u64, reasons: String, config: u64, owners: u64, age_ms: u64 }
     229 Warning MetricsUnavailable "Metrics can't be served; the process goes on without." { address: String, reason: String }
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,7 +9,6 @@
 use hyper::header::{HeaderValue, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
-use rand::RngExt;
 
 use crate::clock::Mono;
 use crate::directory::model::{Key, Route};
@@ -17,6 +16,7 @@
 use super::body::ReplyBody;
 use super::peer::Peer;
 use super::protocol::CallerFacts;
+use super::split::Distance;
 use super::view::View;
 
 /// A request whose body is complete.
@@ -57,6 +57,8 @@
     pub(super) fence: u64,
     /// When the upstream was expected to answer, in milliseconds.
     pub(super) expected_ms: u64,
+    /// How far it is.
+    pub(super) distance: Distance,
     /// The way to it and back, in milliseconds.
     pub(super) way_ms: u64,
     /// The age of its last report of load, in milliseconds.
@@ -139,22 +141,6 @@
     named.or_else(|| parts.uri.authority().map(|a| a.as_str()))
 }
 
-/// Draws a service by the weights of a route.
-pub(super) fn pick_target(route: &Route) -> &str {
-    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
-    let mut left = match total {
-        0 => 0,
-        _ => rand::rng().random_range(0..total),
-    };
-    for target in &route.targets {
-        if left < target.weight {
-            return &target.service;
-        }
-        left -= target.weight;
-    }
-    route.targets.first().map_or("", |t| &t.service)
-}
-
 /// Reads a request's body within the configuration's limit.
 pub(super) async fn read_body(
     body: Incoming,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -33,6 +33,7 @@
 use super::protocol::Protocol;
 use super::proxy::{Inner, Proxy};
 use super::retry::RetryBudget;
+use super::split::Splits;
 use super::view::View;
 
 /// After a request to stop, answers close their connections from this point on.
@@ -127,6 +128,7 @@
             peers,
             budget: Mutex::new(RetryBudget::new(settings.retry)),
             counter,
+            splits: Splits::default(),
             answer_kib: Mutex::default(),
             closing: AtomicBool::new(false),
             clock,
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -14,7 +14,7 @@
 use super::attempt::Sent;
 use super::call::{host_of, id_text, Call, Chosen, Failure, Trail};
 use super::journal::RequestJournal;
-use super::metrics::{Metrics, ReasonLabels, RequestLabels, RouteLabels};
+use super::metrics::{DistanceLabels, Metrics, ReasonLabels, RequestLabels, RouteLabels};
 use super::protocol::CallerFacts;
 use super::view::View;
 
@@ -55,6 +55,7 @@
     abandoned: u64,
     repeats: u64,
     reasons: BTreeMap<&'static str, u64>,
+    bytes: BTreeMap<&'static str, u64>,
     latencies: Option<Histogram<u32>>,
 }
 
@@ -68,6 +69,7 @@
             abandoned: 0,
             repeats: 0,
             reasons: BTreeMap::new(),
+            bytes: BTreeMap::new(),
             // Two digits; the bounds are valid.
             latencies: Histogram::new_with_max(LATENCY_MAX_MS, 2).ok(),
         }
@@ -144,6 +146,7 @@
         metrics.owners_version.set(view.versions.owners as i64);
         metrics.view_age.set(age_ms as i64);
         let tally = std::mem::replace(&mut *lock(&self.tally), Tally::new(now));
+        let kib = |distance| tally.bytes.get(distance).map_or(0, |bytes| bytes / 1_024);
         let reasons = tally.reasons.iter().map(|(r, n)| format!("{r}: {n}"));
         self.recorder.record(Event::TrafficCounted {
             over_ms: now.since(tally.began),
@@ -155,6 +158,9 @@
             in_flight: metrics.in_flight.get().max(0) as u64,
             p50_ms: tally.quantile_ms(0.5),
             p99_ms: tally.quantile_ms(0.99),
+            zone_kib: kib("zone"),
+            region_kib: kib("region"),
+            far_kib: kib("far"),
             reasons: reasons.collect::<Vec<_>>().join("; "),
             config: view.versions.config,
             owners: view.versions.owners,
@@ -261,8 +267,8 @@
         });
     }
 
-    /// Closes the account with an upstream's answer.
-    pub(super) fn answer(mut self, status: u16) {
+    /// Closes the account with an upstream's answer of so many bytes.
+    pub(super) fn answer(mut self, status: u16, bytes: u64) {
         self.is_closed = true;
         let ledger = self.ledger;
         let now = ledger.clock.now();
@@ -270,6 +276,14 @@
         let waited_ms = now.since(call.began);
         let (route, service) = (&call.route.name, call.service);
         ledger.count(route, service, Outcome::Answered, None, Some(waited_ms));
+        if let Some(last) = self.trail.tried.last() {
+            let distance = last.distance.name();
+            let labels = DistanceLabels { distance };
+            let counter = ledger.metrics.bytes.get_or_create(&labels);
+            let bytes = bytes + call.body.len() as u64;
+            counter.inc_by(bytes);
+            *lock(&ledger.tally).bytes.entry(distance).or_default() += bytes;
+        }
         ledger.journal.sample(now, || {
             let view = ledger.view.borrow().clone();
             let last = self.trail.tried.last();
@@ -280,6 +294,8 @@
                 key: call.key,
                 status,
                 upstream: last.map_or(String::new(), |c| c.peer.incarnation.id.clone()),
+                distance: last.map_or(String::new(), |c| c.distance.name().to_string()),
+                bytes,
                 fence: last.map_or(0, |c| c.fence),
                 attempts: self.trail.tried.len() as u64,
                 owner_wait_ms: self.trail.owner_wait_ms,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -49,6 +49,13 @@
     pub reason: &'static str,
 }
 
+/// How far an upstream is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DistanceLabels {
+    /// `zone`, `region` or `far`.
+    pub distance: &'static str,
+}
+
 type Histograms = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of one gateway.
@@ -63,6 +70,8 @@
     pub refusals: Family<ReasonLabels, Counter>,
     /// Attempts that failed.
     pub attempts_failed: Family<ReasonLabels, Counter>,
+    /// Bytes of bodies, there and back.
+    pub bytes: Family<DistanceLabels, Counter>,
     /// Requests that were sent to a further upstream.
     pub repeats: Counter,
     /// Upstreams that were passed over for their failures.
@@ -107,6 +116,7 @@
             seconds: Family::new_with_constructor(histogram),
             refusals: Family::default(),
             attempts_failed: Family::default(),
+            bytes: Family::default(),
             repeats: Counter::default(),
             ejections: Counter::default(),
             in_flight: Gauge::default(),
@@ -174,6 +184,12 @@
             "Attempts that failed",
             self.attempts_failed.clone(),
         );
+        r.register_with_unit(
+            "bodies",
+            "Bodies there and back",
+            Unit::Bytes,
+            self.bytes.clone(),
+        );
         r.register(
             "repeats",
             "Requests sent to a further upstream",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,4 +15,5 @@
 pub mod protocol;
 pub mod proxy;
 pub mod retry;
+pub mod split;
 pub mod view;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -20,12 +20,13 @@
 use super::attempt::{Attempt, Exchange, Sent};
 use super::balance::{admit, choose, TimeLeft};
 use super::body::ReplyBody;
-use super::call::{host_of, pick_target, read_body, Call, Chosen, Failure, Trail};
+use super::call::{host_of, read_body, Call, Chosen, Failure, Trail};
 use super::follow::KeyCounter;
 use super::ledger::{Account, Ledger};
 use super::peer::{Peer, Peers};
 use super::protocol::{CallerFacts, Protocol};
 use super::retry::RetryBudget;
+use super::split::{Distance, Splits};
 use super::view::View;
 
 /// What an upstream in another availability zone must be better by, in milliseconds of waiting:
@@ -79,6 +80,8 @@
     pub budget: Mutex<RetryBudget>,
     /// Load by key, for the directory.
     pub counter: Arc<KeyCounter>,
+    /// Draws services for routes that name several.
+    pub splits: Splits,
     /// The mean size of a route's answers, in KiB.
     pub answer_kib: Mutex<BTreeMap<String, f64>>,
     /// Whether the process ends soon and connections are to be closed.
@@ -144,7 +147,9 @@
         if let Ok(host) = HeaderValue::from_str(&host) {
             parts.headers.insert(HOST, host);
         }
-        let service = pick_target(route);
+        let distance = |service: &str| self.distance(&view, service, facts.key);
+        let places = |service: &str| self.places(&view, service);
+        let service = self.inner.splits.draw(route, distance, places);
         let keyed = view.service(service).is_some_and(|s| s.keyed);
         let call = Call {
             key: facts.key.filter(|_| keyed),
@@ -163,7 +168,7 @@
         let mut account = self.inner.ledger.open(&call);
         match self.run(&call, &mut account).await {
             Ok(response) => {
-                account.answer(response.status().as_u16());
+                account.answer(response.status().as_u16(), response.body().known_bytes());
                 response
             }
             Err(failure) => {
@@ -307,12 +312,10 @@
 
     /// Returns what the way to a zone is worth, in milliseconds of waiting.
     fn way_cost_ms(&self, zone: &str, answer_kib: f64) -> f64 {
-        if zone == self.inner.zone {
-            0.0
-        } else if self.is_near(zone) {
-            OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KIB * answer_kib
-        } else {
-            OTHER_REGION_MS + OTHER_REGION_MS_PER_KIB * answer_kib
+        match self.distance_to(zone) {
+            Distance::Zone => 0.0,
+            Distance::Region => OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KIB * answer_kib,
+            Distance::Far => OTHER_REGION_MS + OTHER_REGION_MS_PER_KIB * answer_kib,
         }
     }
 
@@ -359,6 +362,7 @@
             (load.answer_ms(now) as u64, load.report_age_ms(now))
         };
         Chosen {
+            distance: self.distance_to(&peer.zone),
             way_ms: self.round_trip_ms(&peer.zone),
             peer,
             fence,
@@ -367,6 +371,34 @@
         }
     }
 
+    /// Tells how far the owner of a key is; `None` for services that aren't divided by key.
+    fn distance(&self, view: &View, service: &str, key: Option<Key>) -> Option<Distance> {
+        if !view.service(service).is_some_and(|s| s.keyed) {
+            return None;
+        }
+        let owner = key.and_then(|key| view.owner(service, key));
+        Some(owner.map_or(Distance::Far, |(u, _)| self.distance_to(&u.zone)))
+    }
+
+    /// Counts a service's upstreams by distance.
+    fn places(&self, view: &View, service: &str) -> [u32; 3] {
+        let mut places = [0; 3];
+        for upstream in view.ready(service) {
+            places[self.distance_to(&upstream.zone) as usize] += 1;
+        }
+        places
+    }
+
+    fn distance_to(&self, zone: &str) -> Distance {
+        if zone == self.inner.zone {
+            Distance::Zone
+        } else if self.is_near(zone) {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
     fn is_near(&self, zone: &str) -> bool {
         let regions = &self.inner.regions;
         regions.get(zone) == regions.get(&self.inner.zone)
