--- a/tests/bed/upstream.rs
+++ b/tests/bed/upstream.rs
@@ -41,6 +41,8 @@
     Long(usize),
     /// The same, and breaks off shortly before its end.
     LongTruncated(usize),
+    /// Answers with the bytes of `set_raw` and closes.
+    Raw,
     /// Takes this long, in milliseconds.
     Slow(u64),
 }
@@ -68,6 +70,7 @@
     service: String,
     pub seen: Arc<Mutex<Seen>>,
     manner: Arc<Mutex<Manner>>,
+    raw: Arc<Mutex<Vec<u8>>>,
     tasks: Arc<Mutex<tokio::task::JoinSet<()>>>,
     beats: u64,
 }
@@ -82,6 +85,7 @@
             service: service.to_string(),
             seen: Arc::default(),
             manner: Arc::new(Mutex::new(Manner::Well)),
+            raw: Arc::default(),
             tasks: Arc::default(),
             beats: 1_700_000_000_000 + u64::from(n),
         };
@@ -103,6 +107,12 @@
         *self.manner.lock().unwrap() = manner;
     }
 
+    /// Has it answer with these bytes.
+    pub fn set_raw(&self, bytes: Vec<u8>) {
+        *self.raw.lock().unwrap() = bytes;
+        self.set(Manner::Raw);
+    }
+
     /// Ends the process: its sockets close.
     pub fn crash(&self) {
         self.tasks.lock().unwrap().abort_all();
@@ -235,6 +245,11 @@
         }
         let run = (id.clone(), Instant::now());
         self.seen.lock().unwrap().runs.push(run);
+        if manner == Manner::Raw {
+            let bytes = self.raw.lock().unwrap().clone();
+            stream.write_all(&bytes).await?;
+            return Ok(false);
+        }
         if let Manner::Slow(ms) = manner {
             let mut byte = [0];
             let work = tokio::time::sleep(Duration::from_millis(ms));
@@ -279,7 +294,7 @@
                 let whole = respond(200, &stamp, &"y".repeat(len));
                 (whole[..whole.len() - 9].to_string(), false)
             }
-            Manner::Well | Manner::Early | Manner::Sheds | Manner::Slow(_) => {
+            Manner::Well | Manner::Early | Manner::Sheds | Manner::Raw | Manner::Slow(_) => {
                 (respond(200, &stamp, &body), true)
             }
         };
