Share the bed's upstream and the model's hosts between tests

Three test files started the same bed with one upstream, and waited for it, each in its own copy; the model made a host in two places. Bed::serving, Bed::wait_until_served and Node::new serve them all. Assertions are unchanged.

--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -24,6 +24,8 @@
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 
+use upstream::Upstream;
+
 /// Everything must be ready within this.
 pub const READY: Duration = Duration::from_secs(15);
 const PEER_PORT: u16 = 21_700;
@@ -86,6 +88,25 @@
         }
     }
 
+    /// Starts a replica, a gateway and one upstream of the service that any upstream serves, which is used.
+    pub async fn serving(network: u8) -> (Bed, Upstream) {
+        let bed = Bed::start(network).await;
+        bed.configure_first(&document(1)).await;
+        let upstream = Upstream::start(&bed, 1, "files").await;
+        upstream.join(&bed).await;
+        bed.wait_until_served().await;
+        (bed, upstream)
+    }
+
+    /// Waits until a request of the repeatable route is answered.
+    pub async fn wait_until_served(&self) {
+        wait_for("the upstream is used", READY, async || {
+            let answer = self.request(get("/read/warm", "w", 1_000)).await;
+            answer.is_ok_and(|a| a.status == 200)
+        })
+        .await;
+    }
+
     /// Returns the address of the bed's upstream `n`.
     pub fn upstream(&self, n: u8) -> SocketAddr {
         at(self.network, 10 + n, 80 + 21_700)
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -5,8 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use bed::upstream::{Manner, Upstream};
-use bed::{document, get, post, wait_for, Bed, READY};
+use bed::upstream::Manner;
+use bed::{get, post, Bed};
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,22 +16,9 @@
 /// The configuration's time for a head.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(700);
 
-async fn one(network: u8) -> (Bed, Upstream) {
-    let bed = Bed::start(network).await;
-    bed.configure_first(&document(1)).await;
-    let upstream = Upstream::start(&bed, 1, "files").await;
-    upstream.join(&bed).await;
-    wait_for("the upstream is used", READY, async || {
-        let answer = bed.request(get("/read/warm", "w", 1_000)).await;
-        answer.is_ok_and(|a| a.status == 200)
-    })
-    .await;
-    (bed, upstream)
-}
-
 #[tokio::test]
 async fn long_answers_are_passed_on_whole_and_broken_ones_never_look_so() {
-    let (bed, upstream) = one(51).await;
+    let (bed, upstream) = Bed::serving(51).await;
     upstream.set(Manner::Long(LONG));
     for n in 0..4 {
         let answer = bed
@@ -50,7 +37,7 @@
 
 #[tokio::test]
 async fn an_early_answer_to_a_long_body_leaves_no_other_bytes_in_its_place() {
-    let (bed, upstream) = one(52).await;
+    let (bed, upstream) = Bed::serving(52).await;
     upstream.set(Manner::Early);
     for n in 0..6 {
         let mut call = post("/file/x", &format!("e{n}"), 1_400);
@@ -76,7 +63,7 @@
 
 #[tokio::test]
 async fn a_body_over_the_limit_is_refused_and_one_at_the_limit_isn_t() {
-    let (bed, _upstream) = one(53).await;
+    let (bed, _upstream) = Bed::serving(53).await;
     for (len, status) in [(4 << 20, 200), ((4 << 20) + 1, 413)] {
         let mut call = post("/file/x", &format!("l{len}"), 1_400);
         call.body = Bytes::from(vec![b'b'; len]);
@@ -87,7 +74,7 @@
 
 #[tokio::test]
 async fn heads_are_held_to_their_limits_and_idle_connections_aren_t() {
-    let (bed, _upstream) = one(54).await;
+    let (bed, _upstream) = Bed::serving(54).await;
     let head = |id: &str, filler: usize| {
         format!(
             "GET /read/x HTTP/1.1\r\nhost: one.example\r\ncarobreel-request-id: {id}\r\n\
--- a/tests/diagnosis.rs
+++ b/tests/diagnosis.rs
@@ -8,24 +8,6 @@
 use carobreel::event::Event;
 use std::time::Duration;
 
-async fn one(network: u8, service: &str) -> (Bed, Upstream) {
-    let bed = Bed::start(network).await;
-    bed.configure_first(&document(1)).await;
-    let upstream = Upstream::start(&bed, 1, service).await;
-    upstream.join(&bed).await;
-    (bed, upstream)
-}
-
-async fn two(network: u8) -> (Bed, Upstream) {
-    let (bed, upstream) = one(network, "files").await;
-    wait_for("the upstream is used", READY, async || {
-        let answer = bed.request(get("/read/warm", "w", 1_000)).await;
-        answer.is_ok_and(|a| a.status == 200)
-    })
-    .await;
-    (bed, upstream)
-}
-
 fn cause(bed: &Bed, id: &str) -> String {
     let diagnosis = diagnose(&bed.events(), id).unwrap_or_else(|| panic!("no line names {id}"));
     assert!(!diagnosis.lines.is_empty());
@@ -34,7 +16,7 @@
 
 #[tokio::test]
 async fn a_broken_answer_is_traced_to_its_upstream() {
-    let (bed, upstream) = two(41).await;
+    let (bed, upstream) = Bed::serving(41).await;
     let expected = [
         (Manner::Truncates, "answer cut off"),
         (Manner::Confuses, "answer to another request"),
@@ -43,12 +25,8 @@
     ];
     for (n, (manner, reason)) in expected.into_iter().enumerate() {
         // Each failure has an upstream passed over for a while.
-        wait_for("the upstream is used again", READY, async || {
-            upstream.set(Manner::Well);
-            let answer = bed.request(get("/read/warm", "w", 1_000)).await;
-            answer.is_ok_and(|a| a.status == 200)
-        })
-        .await;
+        upstream.set(Manner::Well);
+        bed.wait_until_served().await;
         upstream.set(manner);
         let id = format!("broken{n}");
         let answer = bed.request(post("/file/x", &id, 900)).await.unwrap();
@@ -64,7 +42,7 @@
 
 #[tokio::test]
 async fn a_slow_upstream_a_refusal_and_a_caller_that_left_are_told_apart() {
-    let (bed, upstream) = two(42).await;
+    let (bed, upstream) = Bed::serving(42).await;
     upstream.set(Manner::Slow(5_000));
     let answer = bed.request(get("/read/x", "slow", 600)).await.unwrap();
     assert_eq!(answer.status, 504);
@@ -95,7 +73,10 @@
 
 #[tokio::test]
 async fn a_key_without_an_owner_is_traced_to_the_lost_upstream() {
-    let (bed, upstream) = one(43, "maps").await;
+    let bed = Bed::start(43).await;
+    bed.configure_first(&document(1)).await;
+    let upstream = Upstream::start(&bed, 1, "maps").await;
+    upstream.join(&bed).await;
     let ask = |id: String| {
         let call = get("/maps/x", &id, 900).header("carobreel-shard-key", "77");
         bed.request(call)
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeSet;
 
-use bed::upstream::{Manner, Upstream};
-use bed::{document, get, wait_for, Bed, READY};
+use bed::upstream::Manner;
+use bed::{document, get, Bed};
 use carobreel::host::HostSettings;
 use carobreel::logs;
 use carobreel::platform::config;
@@ -133,22 +133,9 @@
     });
 }
 
-async fn served(network: u8) -> (Bed, Upstream) {
-    let bed = Bed::start(network).await;
-    bed.configure_first(&document(1)).await;
-    let upstream = Upstream::start(&bed, 1, "files").await;
-    upstream.join(&bed).await;
-    wait_for("the upstream is used", READY, async || {
-        let answer = bed.request(get("/read/warm", "w", 1_000)).await;
-        answer.is_ok_and(|a| a.status == 200)
-    })
-    .await;
-    (bed, upstream)
-}
-
 #[tokio::test]
 async fn mutated_requests_never_reach_an_upstream_as_more_than_one() {
-    let (bed, upstream) = served(61).await;
+    let (bed, upstream) = Bed::serving(61).await;
     let valid = "POST /file/x HTTP/1.1\r\nhost: one.example\r\ncarobreel-request-id: m0\r\n\
                  carobreel-deadline-ms: 900\r\ncontent-length: 8\r\n\r\na filing";
     for seed in 0..rounds(MESSAGES) {
@@ -202,7 +189,7 @@
 
 #[tokio::test]
 async fn mutated_answers_are_never_passed_off_as_another_body() {
-    let (bed, upstream) = served(62).await;
+    let (bed, upstream) = Bed::serving(62).await;
     for seed in 0..rounds(MESSAGES) {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let id = format!("a{seed}");
@@ -216,11 +203,7 @@
         let mut bytes = mutate(&valid.as_bytes()[..head], &mut rng);
         bytes.extend_from_slice(&valid.as_bytes()[head..]);
         upstream.set(Manner::Well);
-        wait_for("the upstream is used again", READY, async || {
-            let answer = bed.request(get("/read/w", "w", 1_000)).await;
-            answer.is_ok_and(|a| a.status == 200)
-        })
-        .await;
+        bed.wait_until_served().await;
         let sent = bytes.clone();
         upstream.set_raw(bytes);
         let Ok(answer) = bed.request(get("/read/x", &id, 400)).await else {
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -51,6 +51,20 @@
     slow_until: u64,
 }
 
+impl Node {
+    /// Returns the host of replica `n`, with an empty disk and no process.
+    fn new(n: usize) -> Node {
+        Node {
+            address: format!("10.0.0.{}:7000", n + 1),
+            region: n % 2,
+            member: None,
+            disk: Disk::default(),
+            frozen_until: 0,
+            slow_until: 0,
+        }
+    }
+}
+
 /// The whole model.
 pub struct World {
     pub now: u64,
@@ -97,14 +111,7 @@
             lives: vec![0; 4],
         };
         for n in 0..4 {
-            world.nodes.push(Node {
-                address: format!("10.0.0.{}:7000", n + 1),
-                region: n % 2,
-                member: None,
-                disk: Disk::default(),
-                frozen_until: 0,
-                slow_until: 0,
-            });
+            world.nodes.push(Node::new(n));
             world.start(n, true);
         }
         for n in 0..upstreams {
--- a/tests/model/trouble.rs
+++ b/tests/model/trouble.rs
@@ -27,14 +27,7 @@
     /// Adds a replica with an empty disk at a new address; returns its number.
     pub fn add(&mut self) -> usize {
         let n = self.nodes.len();
-        self.nodes.push(Node {
-            address: format!("10.0.0.{}:7000", n + 1),
-            region: n % 2,
-            member: None,
-            disk: Disk::default(),
-            frozen_until: 0,
-            slow_until: 0,
-        });
+        self.nodes.push(Node::new(n));
         self.lives.push(0);
         self.start(n, false);
         n
