Write metrics, the state that decided, and distances in one place each

The text of metrics was encoded by three copies, two of which kept half a text on an error: exposition::text_of serves all, with the former first copy's behaviour. Five log lines read the same three facts of the view: Ledger::known. The way to an upstream was worked out beside its distance by a second look at regions: it follows from the distance now.

--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 
-use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -10,6 +9,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::clock::Mono;
+use crate::exposition::text_of;
 
 use super::replica::Replica;
 
@@ -108,10 +108,7 @@
 
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // Writing into a string can't fail.
-        let _ = encode(&mut text, &self.registry);
-        text
+        text_of(&self.registry)
     }
 
     fn register(&mut self) {
--- a/src/exposition.rs
+++ b/src/exposition.rs
@@ -5,6 +5,8 @@
 use axum::http::header::CONTENT_TYPE;
 use axum::routing::get;
 use axum::Router;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
 
 use crate::event::{Event, Recorder};
@@ -12,6 +14,25 @@
 /// The format that Prometheus scrapes.
 const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// Returns all metrics of a registry as text.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::exposition::text_of;
+/// use prometheus_client::registry::Registry;
+///
+/// assert_eq!(text_of(&Registry::default()), "# EOF\n");
+/// ```
+pub fn text_of(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing into a string doesn't fail; half of the metrics would mislead.
+    if encode(&mut text, registry).is_err() {
+        text.clear();
+    }
+    text
+}
+
 /// Serves what `text` returns at `GET /metrics` until the runtime ends. A process goes on without
 /// metrics when the address can't be used; that is logged.
 pub async fn serve<F>(address: SocketAddr, text: F, recorder: Recorder)
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -45,6 +45,13 @@
     }
 }
 
+/// Which state of the directory decided, and how long ago its leader had confirmed it.
+struct Known {
+    config: u64,
+    owners: u64,
+    age_ms: u64,
+}
+
 /// What was done since the last line that counted it.
 #[derive(Debug)]
 struct Tally {
@@ -118,10 +125,19 @@
         }
     }
 
+    fn known(&self, now: Mono) -> Known {
+        let view = self.view.borrow();
+        Known {
+            config: view.versions.config,
+            owners: view.versions.owners,
+            age_ms: now.since(view.confirmed_at),
+        }
+    }
+
     /// Notes a request that was ended before an upstream was looked for.
     pub(super) fn reject(&self, parts: &Parts, facts: &CallerFacts, failure: Failure, began: Mono) {
         let now = self.clock.now();
-        let view = self.view.borrow().clone();
+        let known = self.known(now);
         self.count("-", "-", outcome_of(&failure), Some(failure.reason), None);
         let path = parts.uri.path().chars().take(PATH_CHARS_MAX).collect();
         self.journal.note(now, || Event::RequestRejected {
@@ -131,20 +147,19 @@
             status: failure.status.as_u16(),
             reason: failure.reason.to_string(),
             waited_ms: now.since(began),
-            config: view.versions.config,
-            age_ms: now.since(view.confirmed_at),
+            config: known.config,
+            age_ms: known.age_ms,
         });
     }
 
     /// Writes a line that counts the traffic since the last one, and refreshes gauges.
     pub fn flush(&self) {
         let now = self.clock.now();
-        let view = self.view.borrow().clone();
-        let age_ms = now.since(view.confirmed_at);
+        let known = self.known(now);
         let metrics = &self.metrics;
-        metrics.config_version.set(view.versions.config as i64);
-        metrics.owners_version.set(view.versions.owners as i64);
-        metrics.view_age.set(age_ms as i64);
+        metrics.config_version.set(known.config as i64);
+        metrics.owners_version.set(known.owners as i64);
+        metrics.view_age.set(known.age_ms as i64);
         let tally = std::mem::replace(&mut *lock(&self.tally), Tally::new(now));
         let kib = |distance| tally.bytes.get(distance).map_or(0, |bytes| bytes / 1_024);
         let reasons = tally.reasons.iter().map(|(r, n)| format!("{r}: {n}"));
@@ -162,17 +177,16 @@
             region_kib: kib("region"),
             far_kib: kib("far"),
             reasons: reasons.collect::<Vec<_>>().join("; "),
-            config: view.versions.config,
-            owners: view.versions.owners,
-            age_ms,
+            config: known.config,
+            owners: known.owners,
+            age_ms: known.age_ms,
         });
     }
 
     /// Returns the metrics as text.
     pub fn text(&self) -> String {
-        let view = self.view.borrow().clone();
-        let age_ms = self.clock.now().since(view.confirmed_at);
-        self.metrics.view_age.set(age_ms as i64);
+        let known = self.known(self.clock.now());
+        self.metrics.view_age.set(known.age_ms as i64);
         self.metrics.text()
     }
 
@@ -285,7 +299,7 @@
             *lock(&ledger.tally).bytes.entry(distance).or_default() += bytes;
         }
         ledger.journal.sample(now, || {
-            let view = ledger.view.borrow().clone();
+            let known = ledger.known(now);
             let last = self.trail.tried.last();
             Event::RequestServed {
                 request: call.id(),
@@ -302,9 +316,9 @@
                 expected_ms: last.map_or(0, |c| c.expected_ms),
                 load_age_ms: last.and_then(|c| c.load_age_ms),
                 waited_ms,
-                config: view.versions.config,
-                owners: view.versions.owners,
-                age_ms: now.since(view.confirmed_at),
+                config: known.config,
+                owners: known.owners,
+                age_ms: known.age_ms,
             }
         });
     }
@@ -320,7 +334,7 @@
         let outcome = outcome_of(failure);
         ledger.count(route, service, outcome, Some(failure.reason), None);
         ledger.journal.note(now, || {
-            let view = ledger.view.borrow().clone();
+            let known = ledger.known(now);
             let considered = self.trail.considered.as_ref();
             Event::RequestFailed {
                 request: call.id(),
@@ -340,9 +354,9 @@
                 load_age_ms: considered.and_then(|c| c.load_age_ms),
                 owner_wait_ms: self.trail.owner_wait_ms,
                 waited_ms,
-                config: view.versions.config,
-                owners: view.versions.owners,
-                age_ms: now.since(view.confirmed_at),
+                config: known.config,
+                owners: known.owners,
+                age_ms: known.age_ms,
             }
         });
     }
@@ -354,7 +368,7 @@
         let (route, service) = (&call.route.name, call.service);
         ledger.count(route, service, Outcome::Abandoned, None, None);
         ledger.journal.note(now, || {
-            let view = ledger.view.borrow().clone();
+            let known = ledger.known(now);
             Event::RequestAbandoned {
                 request: call.id(),
                 route: route.clone(),
@@ -362,9 +376,9 @@
                 key: call.key,
                 upstreams: self.trail.upstreams(),
                 waited_ms: now.since(call.began),
-                config: view.versions.config,
-                owners: view.versions.owners,
-                age_ms: now.since(view.confirmed_at),
+                config: known.config,
+                owners: known.owners,
+                age_ms: known.age_ms,
             }
         });
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::Mutex;
 
-use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -13,6 +12,7 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::exposition::text_of;
 use crate::lock::lock;
 
 /// Routes that have series of their own; configurations may name hundreds over a day.
@@ -159,10 +159,7 @@
 
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // Writing into a string can't fail.
-        let _ = encode(&mut text, &self.registry);
-        text
+        text_of(&self.registry)
     }
 
     fn register(&mut self) {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -337,14 +337,6 @@
         }
     }
 
-    fn round_trip_ms(&self, zone: &str) -> u64 {
-        if self.is_near(zone) {
-            ROUND_TRIP_MS
-        } else {
-            REGION_ROUND_TRIP_MS
-        }
-    }
-
     /// Tells whether `chosen` can answer in time, or when the caller may come back.
     fn admit(&self, call: &Call<'_>, chosen: &Chosen, now: Mono) -> Result<(), u64> {
         let passed_ms = call.before_ms() + now.since(call.began);
@@ -361,9 +353,13 @@
             let load = peer.load();
             (load.answer_ms(now) as u64, load.report_age_ms(now))
         };
+        let distance = self.distance_to(&peer.zone);
         Chosen {
-            distance: self.distance_to(&peer.zone),
-            way_ms: self.round_trip_ms(&peer.zone),
+            distance,
+            way_ms: match distance {
+                Distance::Zone | Distance::Region => ROUND_TRIP_MS,
+                Distance::Far => REGION_ROUND_TRIP_MS,
+            },
             peer,
             fence,
             expected_ms,
@@ -390,20 +386,16 @@
     }
 
     fn distance_to(&self, zone: &str) -> Distance {
+        let regions = &self.inner.regions;
         if zone == self.inner.zone {
             Distance::Zone
-        } else if self.is_near(zone) {
+        } else if regions.get(zone) == regions.get(&self.inner.zone) {
             Distance::Region
         } else {
             Distance::Far
         }
     }
 
-    fn is_near(&self, zone: &str) -> bool {
-        let regions = &self.inner.regions;
-        regions.get(zone) == regions.get(&self.inner.zone)
-    }
-
     async fn attempt(&self, call: &Call<'_>, chosen: &Chosen) -> Attempt {
         let Chosen { peer, way_ms, .. } = chosen;
         let way_ms = *way_ms;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::sync::atomic::AtomicU64;
 
-use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -11,6 +10,8 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::exposition::text_of;
+
 /// Labels of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -99,11 +100,7 @@
     /// assert!(metrics.text().contains("carobreel_retries_total 1"));
     /// ```
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        if encode(&mut text, &self.registry).is_err() {
-            text.clear();
-        }
-        text
+        text_of(&self.registry)
     }
 
     fn register(&mut self) {
