Tell apart why a leader of the directory fails calls and hosts lose it

The logs couldn't distinguish the incident's hypotheses: a call not sent for want of a connection or of a lease, connections opened and given up, the number of key ranges that a leader renews, and why an entry host's request ended. New: the result lease_ended, one line every 5 s of what a leader did (LeaderWorked), DirectoryUnanswered with the reason and the view's age. Lines about failed calls are bounded to 40 a second, the rest is counted (CallsUnlogged). No logic is changed.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -21,15 +21,17 @@
 use crate::raft::{Log, Message, ReplicaId, Timing};
 use crate::storage::{Storage, StorageError};
 use crate::transport::Endpoint;
-use crate::wire::{RaftBatch, Request, Response};
+use crate::wire::{Request, Response};
 
 use super::ask::{Ask, Reply};
+use super::handle::{Handle, Input, Origin};
 use super::lessor::{Call, CallResult};
 use super::membership::{founder_id, founding};
 use super::metrics::{CallLabels, Metrics};
 use super::peers::Peers;
 use super::replica::{Output, Replica, Start, LOG_NAME};
 use super::serve::Server;
+use super::work::Work;
 
 /// Between two looks at the clock.
 const TICK: Duration = Duration::from_millis(25);
@@ -89,21 +91,6 @@
 
 impl std::error::Error for StartError {}
 
-pub(super) enum Input {
-    Raft(RaftBatch),
-    /// A request with where it came from.
-    Ask(Ask, Origin, oneshot::Sender<Reply>),
-    Called(Call, CallResult),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Origin {
-    /// This process, which wants the leader's answer.
-    Here,
-    /// Another process, which looks for the leader itself.
-    Elsewhere,
-}
-
 /// A running directory process.
 #[derive(Debug)]
 pub struct Directory {
@@ -113,28 +100,6 @@
     thread: Option<JoinHandle<()>>,
 }
 
-/// Asks the directory from any thread of its process; clones share it.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    tx: mpsc::Sender<Input>,
-}
-
-impl Handle {
-    /// Asks the leader, wherever it is. [`Reply::NotLeader`] means that there is no sure answer now.
-    pub async fn ask(&self, ask: Ask) -> Reply {
-        let (tx, rx) = oneshot::channel();
-        if self
-            .tx
-            .send(Input::Ask(ask, Origin::Here, tx))
-            .await
-            .is_err()
-        {
-            return Reply::NotLeader(None);
-        }
-        rx.await.unwrap_or(Reply::NotLeader(None))
-    }
-}
-
 impl Directory {
     /// Starts the replica's thread and returns once it listens.
     pub fn spawn<C: KeyCalls>(
@@ -183,6 +148,7 @@
                     tx,
                     calls: Arc::new(calls),
                     metrics: shown,
+                    work: Work::default(),
                     hosts: BTreeMap::new(),
                 };
                 host.run(rx, stopped).await;
@@ -231,6 +197,7 @@
     calls: Arc<C>,
     peers: Peers,
     metrics: Arc<Metrics>,
+    work: Work,
     /// Where replicas write from; one that was just taken in knows no membership yet.
     hosts: BTreeMap<ReplicaId, String>,
 }
@@ -349,6 +316,12 @@
             let output = member.tick(now)?;
             self.finish(&member, output);
             self.metrics.observe(&member, now);
+            self.work.note_pass(now);
+            let unlogged = self.work.unlogged(now);
+            let summary = self.work.summary(&member, &self.endpoint, now);
+            for event in unlogged.into_iter().chain(summary) {
+                self.recorder.record(event);
+            }
             let is_member = member
                 .raft()
                 .membership()
@@ -384,7 +357,7 @@
                     result: result.name(),
                 };
                 self.metrics.calls.get_or_create(&labels).inc();
-                if !matches!(result, CallResult::Done(_)) {
+                if self.work.note_result(&result) {
                     self.recorder.record(Event::CallFailed {
                         number: call.number,
                         upstream: call.upstream.clone(),
@@ -464,6 +437,7 @@
 
     /// Sends what a step handed out.
     fn finish(&mut self, member: &Member, output: Output<oneshot::Sender<Reply>>) {
+        self.work.note_output(&output);
         for event in output.events {
             if let Event::KeysAssigned { .. } = event {
                 self.metrics.keys_assigned.inc();
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -101,8 +101,10 @@
     Done(Option<String>),
     /// The upstream has seen a higher fencing token.
     Fenced,
-    /// Nothing was sent.
+    /// No connection could be opened; nothing was sent.
     NotSent,
+    /// The leader's lease ended before the call could be written; nothing was sent.
+    LeaseEnded,
     /// Another upstream has the address, and didn't carry it out.
     Misdirected,
     /// It may be carried out, now or later.
@@ -116,6 +118,7 @@
             CallResult::Done(_) => "done",
             CallResult::Fenced => "fenced",
             CallResult::NotSent => "not_sent",
+            CallResult::LeaseEnded => "lease_ended",
             CallResult::Misdirected => "elsewhere",
             CallResult::Unknown => "unanswered",
         }
--- a/src/directory/lessor/book.rs
+++ b/src/directory/lessor/book.rs
@@ -86,7 +86,7 @@
                 bounds.heard_at = now;
                 self.fenced.insert(place.clone());
             }
-            CallResult::NotSent => {}
+            CallResult::NotSent | CallResult::LeaseEnded => {}
             // Its address belongs to another process: this one has ended.
             CallResult::Misdirected => bounds.heard_at = Mono(0),
             CallResult::Unknown => {
--- a/src/directory/serve.rs
+++ b/src/directory/serve.rs
@@ -6,7 +6,7 @@
 use crate::wire::{Request, Response};
 
 use super::ask::Reply;
-use super::daemon::{Input, Origin};
+use super::handle::{Input, Origin};
 
 #[derive(Clone)]
 pub(super) struct Server {
--- a/src/event.rs
+++ b/src/event.rs
@@ -114,6 +114,8 @@
     208 Warning DirectoryLost "An entry host has no leader of the directory and goes on with what it knows." { age_ms: u64 }
     209 Warning StorageFailed "The data folder failed; the replica starts again from what it stored." { reason: String }
     210 Warning FolderReplaced "A damaged data folder was set aside; the replica joins under a new identity." { reason: String }
+    211 Info LeaderWorked "What a leader of the directory did since the last such line." { over_ms: u64, upstreams: u64, ranges: u64, grants: u64, releases: u64, failed: String, updates: u64, answers: u64, messages: u64, waiting: u64, delay_max_ms: u64, connections: u64, handshakes_failed: u64 }
+    212 Warning CallsUnlogged "Lines about failed calls were left out to bound the log." { count: u64 }
     220 Warning RequestFailed "A request ended without an upstream's whole answer." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
     221 Warning AttemptFailed "A request couldn't be answered by one upstream." { request: String, upstream: String, fence: u64, reason: String, sent: bool, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64 }
     222 Warning RequestsUnlogged "Lines about requests were left out to bound the log." { count: u64 }
@@ -124,6 +126,7 @@
     227 Warning RequestRejected "A request was ended before an upstream was looked for." { request: String, host: String, path: String, status: u16, reason: String, waited_ms: u64, config: u64, age_ms: u64 }
     228 Info TrafficCounted "What an entry host did since the last such line." { over_ms: u64, answered: u64, refused: u64, failed: u64, abandoned: u64, repeats: u64, in_flight: u64, p50_ms: u64, p99_ms: u64, zone_kib: u64, region_kib: u64, far_kib: u64, reasons: String, config: u64, owners: u64, age_ms: u64 }
     229 Warning MetricsUnavailable "Metrics can't be served; the process goes on without." { address: String, reason: String }
+    230 Warning DirectoryUnanswered "An entry host's request to the directory ended without an update." { asked: String, reason: String, waited_ms: u64, config: u64, age_ms: u64 }
 }
 
 /// An event with its time and host.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Mono};
 use crate::directory::ask::{Ask, KeyCounts, Reply, Update};
 use crate::directory::model::Key;
 use crate::event::{Event, Recorder};
@@ -129,9 +129,9 @@
             let next = hosts.next();
             let is_last = next.is_none();
             if let Some(host) = next {
-                let endpoint = self.endpoint.clone();
+                let (endpoint, log) = (self.endpoint.clone(), self.log());
                 let ask = ask.clone();
-                asked.spawn(async move { exchange(&endpoint, host, ask).await });
+                asked.spawn(async move { exchange(&endpoint, &log, host, ask).await });
             }
             let patience = if is_last { ANSWER_TIMEOUT } else { STAGGER };
             match tokio::time::timeout(patience, asked.join_next()).await {
@@ -155,7 +155,15 @@
             *counts = self.counter.take();
             *speeds = self.peers.take_speeds();
         }
-        exchange(&self.endpoint, host.to_string(), ask).await
+        exchange(&self.endpoint, &self.log(), host.to_string(), ask).await
+    }
+
+    fn log(&self) -> AskLog {
+        AskLog {
+            recorder: self.recorder.clone(),
+            clock: self.clock,
+            view: self.view.subscribe(),
+        }
     }
 
     fn follow(&self) -> Ask {
@@ -190,13 +198,39 @@
     Nothing,
 }
 
-async fn exchange(endpoint: &Endpoint, host: String, ask: Ask) -> Found {
+/// Tells why requests ended without an update.
+struct AskLog {
+    recorder: Recorder,
+    clock: Clock,
+    view: watch::Receiver<Arc<View>>,
+}
+
+impl AskLog {
+    fn unanswered(&self, asked: &str, reason: &str, asked_at: Mono) {
+        let now = self.clock.now();
+        let view = self.view.borrow();
+        self.recorder.record(Event::DirectoryUnanswered {
+            asked: asked.to_string(),
+            reason: reason.to_string(),
+            waited_ms: now.since(asked_at),
+            config: view.versions.config,
+            age_ms: now.since(view.confirmed_at),
+        });
+    }
+}
+
+async fn exchange(endpoint: &Endpoint, log: &AskLog, host: String, ask: Ask) -> Found {
+    let asked_at = log.clock.now();
     let request = Request::Directory(ask);
     match endpoint.call(&host, request, ANSWER_TIMEOUT).await {
         Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update),
         Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => Found::Elsewhere(leader),
-        Ok(_) => Found::Nothing,
-        Err(_) => {
+        Ok(_) => {
+            log.unanswered(&host, "no leader known", asked_at);
+            Found::Nothing
+        }
+        Err(e) => {
+            log.unanswered(&host, &e.current_context().to_string(), asked_at);
             endpoint.forget(&host);
             Found::Nothing
         }
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -9,7 +9,7 @@
 use axum::Router;
 
 use crate::directory::ask::{Ask, Reply};
-use crate::directory::daemon::Handle;
+use crate::directory::handle::Handle;
 use crate::directory::state::StoredConfig;
 use crate::event::{Event, Recorder};
 
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -47,9 +47,12 @@
     async fn call(&self, call: Call, until: Mono) -> CallResult {
         let mut client = self.take(call.address);
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, client.open()).await;
-        if !matches!(opened, Ok(Ok(()))) || self.clock.now() >= until {
+        if !matches!(opened, Ok(Ok(()))) {
             return CallResult::NotSent;
         }
+        if self.clock.now() >= until {
+            return CallResult::LeaseEnded;
+        }
         let request = request(&call).timeout(Duration::from_millis(call.timeout_ms));
         match client.send(request).await {
             Ok(answer) => {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -73,9 +74,20 @@
     quic: quinn::Endpoint,
     addresses: BTreeMap<String, SocketAddr>,
     connections: Mutex<BTreeMap<String, Connection>>,
+    opened: AtomicU64,
+    failed: AtomicU64,
     recorder: Recorder,
 }
 
+/// Connections that a process opened to others, since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dialled {
+    /// Opened.
+    pub opened: u64,
+    /// Given up while they were being opened.
+    pub failed: u64,
+}
+
 /// A request from another process, with the stream to answer on.
 #[derive(Debug)]
 pub struct Incoming {
@@ -134,6 +146,8 @@
             quic,
             addresses,
             connections: Mutex::default(),
+            opened: AtomicU64::new(0),
+            failed: AtomicU64::new(0),
             recorder,
         };
         Ok(Endpoint {
@@ -146,6 +160,14 @@
         self.inner.quic.local_addr().ok()
     }
 
+    /// Returns how many connections were opened to others.
+    pub fn dialled(&self) -> Dialled {
+        Dialled {
+            opened: self.inner.opened.load(Ordering::Relaxed),
+            failed: self.inner.failed.load(Ordering::Relaxed),
+        }
+    }
+
     /// Asks a host and waits for its answer.
     ///
     /// # Errors
@@ -392,10 +414,14 @@
             .quic
             .connect(address, name)
             .change_context(TransportError::Connect)?;
+        // Also where the caller gives up first, which drops this future.
+        let attempt = Attempt(&self.inner.failed);
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .change_context(TransportError::Connect)?
             .change_context(TransportError::Connect)?;
+        std::mem::forget(attempt);
+        self.inner.opened.fetch_add(1, Ordering::Relaxed);
         self.connections()
             .insert(host.to_string(), connection.clone());
         Ok(connection)
@@ -419,6 +445,15 @@
     }
 }
 
+/// Counts a connection as given up when it is dropped.
+struct Attempt<'a>(&'a AtomicU64);
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// Returns a configuration whose stateless resets stay valid over restarts, so that peers of a
 /// process that was started again learn at once that their connections are gone.
 fn endpoint_config(address: SocketAddr) -> Result<EndpointConfig, Report<TransportError>> {
