--- /dev/null
+++ b/tests/model/entry.rs
@@ -0,0 +1,172 @@
+//! Entry hosts that follow the directory, and processors of which a replica has a share only.
+
+use carobreel::clock::Mono;
+use carobreel::directory::ask::{Ask, KeyCounts, Reply};
+use carobreel::directory::model::Key;
+use carobreel::directory::replica::Output;
+use carobreel::gateway::view::View;
+use rand::RngExt;
+use rand_distr::{Distribution, Poisson};
+
+use super::queue::{Event, Question};
+use super::{World, SERVICE};
+
+/// An acknowledged configuration is in force after this long, by the platform's rules, in milliseconds.
+pub const IN_FORCE_MS: u64 = 2_500;
+/// An entry host waits this long for an answer, in milliseconds.
+const PATIENCE_MS: u64 = 1_200;
+/// It looks for the leader again after this long, in milliseconds.
+const SEARCH_MS: u64 = 300;
+/// Processor time for a message, a request or an answer between processes, in microseconds: a leader
+/// with 64 entry hosts and 334 upstreams was charged 136 ms a second for about 1,300 exchanges.
+const EXCHANGE_US: f64 = 60.0;
+/// Processor time for a call to an upstream and its answer, in microseconds.
+const CALL_US: f64 = 100.0;
+/// Processor time for a look at the clock, in microseconds.
+const TICK_US: f64 = 20.0;
+
+/// What entry hosts do, and what a replica has to bear it with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub entry_hosts: usize,
+    /// Requests a second of all entry hosts, spread evenly over the keys.
+    pub requests_per_s: f64,
+    /// The first of 60 adjacent keys that get two fifths of the requests.
+    pub hot_from: Option<Key>,
+    /// The part of a processor that each replica has; all of it costs nothing when missing.
+    pub processor_share: Option<f64>,
+}
+
+/// One entry host.
+#[derive(Default)]
+pub struct EntryHost {
+    pub view: View,
+    turn: u64,
+    reported_at: u64,
+}
+
+impl World {
+    /// Returns how many ranges of keys the leader renews.
+    pub fn ranges(&self) -> usize {
+        let state = self.leader_state();
+        state.map_or(0, |s| s.owners.values().map(|t| t.ranges.len()).sum())
+    }
+
+    /// Returns how many entry hosts have the newest acknowledged configuration.
+    pub fn hosts_up_to_date(&self) -> usize {
+        let is_new = |e: &&EntryHost| e.view.versions.config >= self.acked_version;
+        self.entries.iter().filter(is_new).count()
+    }
+
+    pub(super) fn follow(&mut self, n: usize) {
+        let Some(leader) = self.leader() else {
+            self.push(SEARCH_MS, Event::Follow(n));
+            return;
+        };
+        let counts = self.draw_requests(n);
+        let entry = &mut self.entries[n];
+        entry.turn += 1;
+        let turn = entry.turn;
+        let ask = Ask::Follow {
+            host: format!("e{n}"),
+            have: entry.view.versions,
+            counts: vec![KeyCounts {
+                service: SERVICE.to_string(),
+                counts,
+            }],
+            speeds: Vec::new(),
+        };
+        self.question(leader, ask, Question::Follow(n, turn));
+        self.push(PATIENCE_MS, Event::FollowTimeout(n, turn));
+    }
+
+    pub(super) fn followed(&mut self, n: usize, turn: u64, reply: Reply) {
+        if self.entries[n].turn != turn {
+            return;
+        }
+        self.entries[n].turn += 1;
+        match reply {
+            Reply::Update(update) => {
+                let next = self.entries[n].view.updated(*update, Mono(self.now));
+                self.entries[n].view = next;
+                self.follow(n);
+            }
+            _ => self.push(SEARCH_MS, Event::Follow(n)),
+        }
+    }
+
+    pub(super) fn give_up_follow(&mut self, n: usize, turn: u64) {
+        if self.entries[n].turn == turn {
+            self.entries[n].turn += 1;
+            self.push(SEARCH_MS, Event::Follow(n));
+        }
+    }
+
+    pub(super) fn check_version(&mut self, version: u64) {
+        let lacks = |e: &&EntryHost| e.view.versions.config < version;
+        let count = self.entries.iter().filter(lacks).count();
+        if count > 0 {
+            self.late.push((version, count));
+        }
+    }
+
+    /// Draws the requests that an entry host has seen since its last report.
+    fn draw_requests(&mut self, n: usize) -> Vec<(Key, u32)> {
+        let since = self.now - std::mem::replace(&mut self.entries[n].reported_at, self.now);
+        let rate = self.load.requests_per_s / self.load.entry_hosts as f64;
+        let mean = rate * since as f64 / 1_000.0;
+        let Ok(requests) = Poisson::new(mean) else {
+            return Vec::new();
+        };
+        let count = requests.sample(&mut self.rng) as u32;
+        let mut draw = || match self.load.hot_from {
+            Some(from) if self.rng.random_range(0..5) < 2 => from + self.rng.random_range(0..60),
+            _ => self.rng.random(),
+        };
+        (0..count).map(|_| (draw(), 1)).collect()
+    }
+
+    /// Has an event wait for the processor of replica `n`.
+    pub(super) fn enqueue(&mut self, n: usize, event: Event) {
+        let is_idle = self.nodes[n].backlog.is_empty();
+        self.nodes[n].backlog.push_back(event);
+        if is_idle {
+            let free_at = self.nodes[n].busy_until_us.div_ceil(1_000);
+            self.push(free_at.saturating_sub(self.now), Event::Work(n));
+        }
+    }
+
+    /// Carries out what waits until the processor is busy beyond this millisecond.
+    pub(super) fn work(&mut self, n: usize) {
+        while self.nodes[n].busy_until_us <= self.now * 1_000 {
+            let Some(event) = self.nodes[n].backlog.pop_front() else {
+                return;
+            };
+            let cost_us = match &event {
+                Event::Tick(_) => TICK_US,
+                _ => EXCHANGE_US,
+            };
+            self.charge(n, cost_us);
+            self.carry_out(event);
+        }
+        if !self.nodes[n].backlog.is_empty() {
+            let free_at = self.nodes[n].busy_until_us.div_ceil(1_000);
+            self.push(free_at.saturating_sub(self.now), Event::Work(n));
+        }
+    }
+
+    fn charge(&mut self, n: usize, cost_us: f64) {
+        let Some(share) = self.load.processor_share else {
+            return;
+        };
+        let busy = &mut self.nodes[n].busy_until_us;
+        *busy = (*busy).max(self.now * 1_000) + (cost_us / share) as u64;
+    }
+
+    /// Charges what a step handed out.
+    pub(super) fn charge_output(&mut self, n: usize, output: &Output<u64>) {
+        let exchanges = output.replies.len() + output.messages.len();
+        let cost_us = exchanges as f64 * EXCHANGE_US + output.calls.len() as f64 * CALL_US;
+        self.charge(n, cost_us);
+    }
+}
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -4,12 +4,13 @@
 
 pub mod config;
 pub mod disk;
+pub mod entry;
 pub mod queue;
 pub mod trouble;
 pub mod upstream;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use carobreel::clock::Mono;
 use carobreel::directory::ask::{Ask, Reply, UpstreamSpeed};
@@ -25,6 +26,8 @@
 
 use config::config;
 use disk::Disk;
+use entry::EntryHost;
+pub use entry::Load;
 pub use queue::Faults;
 use queue::{Event, Question, Queued};
 use upstream::Upstreams;
@@ -49,6 +52,10 @@
     disk: Disk,
     frozen_until: u64,
     slow_until: u64,
+    /// What waits for the processor, where its share is limited.
+    backlog: VecDeque<Event>,
+    /// When the processor is free again, in microseconds.
+    busy_until_us: u64,
 }
 
 impl Node {
@@ -61,6 +68,8 @@
             disk: Disk::default(),
             frozen_until: 0,
             slow_until: 0,
+            backlog: VecDeque::new(),
+            busy_until_us: 0,
         }
     }
 }
@@ -78,6 +87,11 @@
     pub reads: u64,
     /// Folders opened again after their disk failed.
     pub reopened: u64,
+    /// What entry hosts do.
+    pub load: Load,
+    /// Configurations that an entry host didn't have in time, with how many.
+    pub late: Vec<(u64, usize)>,
+    entries: Vec<EntryHost>,
     nodes: Vec<Node>,
     queue: BinaryHeap<Reverse<Queued>>,
     order: u64,
@@ -91,6 +105,11 @@
     /// Returns a world of four replicas in two regions, three of them founders, and `upstreams`
     /// upstreams.
     pub fn new(seed: u64, upstreams: usize, faults: Faults) -> World {
+        World::sized(seed, upstreams, faults, Load::default())
+    }
+
+    /// Returns a world with entry hosts that follow the directory.
+    pub fn sized(seed: u64, upstreams: usize, faults: Faults, load: Load) -> World {
         let mut world = World {
             now: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -102,6 +121,11 @@
             leaders: 0,
             reads: 0,
             reopened: 0,
+            load,
+            late: Vec::new(),
+            entries: (0..load.entry_hosts)
+                .map(|_| EntryHost::default())
+                .collect(),
             nodes: Vec::new(),
             queue: BinaryHeap::new(),
             order: 0,
@@ -118,6 +142,10 @@
             let at = world.rng.random_range(0..ANNOUNCE_MS);
             world.push(at, Event::Announce(n));
         }
+        for n in 0..load.entry_hosts {
+            let at = world.rng.random_range(0..JOIN_MS);
+            world.push(at, Event::Follow(n));
+        }
         world
     }
 
@@ -289,7 +317,15 @@
                 self.push(frozen_until - self.now, event);
                 return;
             }
+            if self.load.processor_share.is_some() {
+                self.enqueue(n, event);
+                return;
+            }
         }
+        self.carry_out(event);
+    }
+
+    fn carry_out(&mut self, event: Event) {
         match event {
             Event::Tick(n) => {
                 if self.nodes[n].member.is_none() {
@@ -312,6 +348,10 @@
             Event::DiskFreed(n) => self.free_disk(n),
             Event::Announce(n) => self.announce(n),
             Event::Join(n) => self.join(n),
+            Event::Work(n) => self.work(n),
+            Event::Follow(n) => self.follow(n),
+            Event::FollowTimeout(n, turn) => self.give_up_follow(n, turn),
+            Event::CheckVersion(version) => self.check_version(version),
         }
     }
 
@@ -352,6 +392,7 @@
         };
         let leads = self.nodes[n].member.as_ref().is_some_and(|m| m.leads());
         self.leaders += u64::from(leads && !led);
+        self.charge_output(n, &output);
         for (token, reply) in output.replies {
             let delay = self.rng.random_range(1..30);
             self.push(delay, Event::Reply(token, reply));
@@ -449,7 +490,9 @@
         match (question, reply) {
             (Question::Configure(version), Reply::Done) => {
                 self.acked_version = self.acked_version.max(version);
+                self.push(entry::IN_FORCE_MS, Event::CheckVersion(version));
             }
+            (Question::Follow(n, turn), reply) => self.followed(n, turn, reply),
             (Question::Read(acked), Reply::Config(source)) => {
                 let text = source.map(|s| String::from_utf8(s).unwrap());
                 let version: u64 = text.map_or(0, |t| t.parse().unwrap());
--- a/tests/model/queue.rs
+++ b/tests/model/queue.rs
@@ -42,6 +42,13 @@
     DiskFreed(usize),
     Announce(usize),
     Join(usize),
+    /// A host's processor takes what waits for it.
+    Work(usize),
+    /// An entry host asks for what changed.
+    Follow(usize),
+    FollowTimeout(usize, u64),
+    /// An acknowledged configuration must be in force at every entry host.
+    CheckVersion(u64),
 }
 
 /// What a question was about, until its answer comes.
@@ -52,6 +59,8 @@
     Read(u64),
     Drain(usize),
     Announce(usize, u64),
+    /// An entry host and its request's number.
+    Follow(usize, u64),
     Other,
 }
 
--- a/tests/model/trouble.rs
+++ b/tests/model/trouble.rs
@@ -21,6 +21,8 @@
             self.nodes[n].disk = Disk::default();
         }
         self.lives[n] += 1;
+        self.nodes[n].backlog.clear();
+        self.nodes[n].busy_until_us = 0;
         self.push(down_ms, Event::Restart(n));
     }
 
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,111 @@
+//! The directory with as many upstreams and entry hosts as the users' grown deployments, and as small
+//! a share of a processor.
+
+mod model;
+
+use model::{Faults, Load, World};
+
+const CALM: Faults = Faults {
+    lost: 0,
+    late_calls: 0,
+    slow_clock_percent: 2,
+};
+const UPSTREAMS: usize = 231;
+const ENTRY_HOSTS: usize = 64;
+/// Requests a second for the service that is divided by key.
+const REQUESTS_PER_S: f64 = 1_667.0;
+/// The share of a processor that a directory host has.
+const SHARE: f64 = 0.15;
+/// After all replicas are back the system must serve within this, in milliseconds.
+const RECOVERY_MS: u64 = 15_000;
+/// Ranges that a leader can renew: at most this many an upstream.
+const RANGES_PER_UPSTREAM: usize = 3;
+
+fn started(seed: u64, processor_share: Option<f64>) -> World {
+    let load = Load {
+        entry_hosts: ENTRY_HOSTS,
+        requests_per_s: REQUESTS_PER_S,
+        hot_from: None,
+        processor_share,
+    };
+    let mut world = World::sized(seed, UPSTREAMS, CALM, load);
+    world.run(2_500);
+    world.configure(0);
+    world.run(7_500);
+    assert!(world.acked_version > 0, "seed {seed}");
+    world
+}
+
+fn all_keys() -> usize {
+    model::upstream::samples().count()
+}
+
+#[test]
+fn even_traffic_doesn_t_split_ranges_of_keys() {
+    for seed in 0..3 {
+        let mut world = started(seed, None);
+        let before = world.ranges();
+        world.run(20_000);
+        let after = world.ranges();
+        assert!(
+            after <= before + UPSTREAMS / 10,
+            "seed {seed}: {before} ranges, {after} after 20 s"
+        );
+    }
+}
+
+#[test]
+fn hot_keys_leave_no_trail_of_small_ranges() {
+    let mut world = started(5, None);
+    for hot_from in [3_000, 20_000, 41_000, 60_000] {
+        world.load.hot_from = Some(hot_from);
+        world.run(4_000);
+    }
+    world.load.hot_from = None;
+    world.run(15_000);
+    let ranges = world.ranges();
+    assert!(ranges <= RANGES_PER_UPSTREAM * UPSTREAMS, "{ranges} ranges");
+    assert_eq!(world.upstreams.held(world.now), all_keys());
+}
+
+#[test]
+fn a_leader_on_a_small_share_stays_and_configurations_are_in_force_in_time() {
+    for seed in 0..3 {
+        let mut world = started(seed, Some(SHARE));
+        world.run(15_000);
+        let leaders = world.leaders;
+        world.late.clear();
+        // Upstreams are replaced, a few at a time, while configurations come quickly.
+        for round in 0..60 {
+            let now = world.now;
+            world.upstreams.replace(round, now);
+            if round >= 20 {
+                world.configure(round % 4);
+            }
+            world.run(80);
+        }
+        world.run(4_000);
+        assert_eq!(world.leaders, leaders, "seed {seed}");
+        assert!(world.late.is_empty(), "seed {seed}: {:?}", world.late);
+        assert_eq!(world.hosts_up_to_date(), ENTRY_HOSTS, "seed {seed}");
+    }
+}
+
+#[test]
+fn service_returns_in_time_when_all_replicas_start_at_once_on_a_small_share() {
+    for seed in 0..3 {
+        let mut world = started(seed, Some(SHARE));
+        let leaders = world.leaders;
+        for n in 0..4 {
+            world.kill(n, 1_400, false);
+        }
+        world.run(1_400 + RECOVERY_MS);
+        assert_eq!(world.hosts_up_to_date(), ENTRY_HOSTS, "seed {seed}");
+        assert_eq!(world.upstreams.held(world.now), all_keys(), "seed {seed}");
+        assert!(
+            world.leaders <= leaders + 2,
+            "seed {seed}: {}",
+            world.leaders
+        );
+    }
+}
