Don't take chance for load: move keys only for a rate that can't be noise

Cause: the planner compared each upstream's measured load with the mean and moved keys above 1.35 or below 0.5 of it. With 231 upstreams at 7 requests/s each, a one-second measure lies outside that by chance alone in every round, so that keys moved for ever; each move cuts a range in up to three, and a leader renews every range. Ruled out: hot keys (there were none in the model) and lost upstreams.

Now a load counts as too high or too low only beyond four standard deviations of a Poisson count at the mean's rate. An upstream without keys gets half of a donor's at once, so that joining ones aren't left empty.

--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -17,6 +17,11 @@
 const OVERSHOOT: f64 = 1.15;
 /// A move may carry this much less than is asked for.
 const UNDERSHOOT: f64 = 0.6;
+/// A load that lies less than this many standard deviations from the mean may do so by chance: with
+/// some hundred owners, three are passed by one of them in most rounds.
+const CHANCE_DEVIATIONS: f64 = 4.0;
+/// An owner without keys is given this share of its donor's load at once.
+const FIRST_SHARE: f64 = 0.5;
 /// The share of all load that counts as spread evenly over the keys, so that empty upstreams are
 /// given keys also where nothing is known of the load.
 const EVEN_SHARE: f64 = 0.2;
@@ -58,9 +63,31 @@
             .map(|(key, count)| (*key, KeyRates::rate(*count)))
     }
 
+    /// Returns the requests a second of `from..=to`.
+    pub fn total_between(&self, from: Key, to: Key) -> f64 {
+        self.between(from, to).map(|(_, rate)| rate).sum()
+    }
+
     fn total(&self) -> f64 {
         self.counts.values().map(|c| KeyRates::rate(*c)).sum()
     }
+
+    /// Returns how far a measured rate may lie from the true one by chance, in requests a second, when
+    /// requests come independently of each other.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::directory::balance::KeyRates;
+    ///
+    /// assert!(KeyRates::chance(7.0) > 0.8 * 7.0);
+    /// assert!(KeyRates::chance(400.0) < 0.15 * 400.0);
+    /// ```
+    pub fn chance(rate: f64) -> f64 {
+        // A Poisson count under weights that halve every half-life.
+        let variance = rate * std::f64::consts::LN_2 / (2.0 * HALF_LIFE_MS / 1_000.0);
+        CHANCE_DEVIATIONS * variance.sqrt()
+    }
 }
 
 /// A key that loads its owner this many times the mean goes to a faster upstream.
@@ -177,17 +204,31 @@
             self.shift(&mut loads, &speeds, t, even);
         }
         while chosen.len() < most {
-            let Some((donor, high)) = extreme(&loads, |a, b| a > b) else {
+            let Some((receiver, low)) = extreme(&loads, |a, b| a < b, |_, _| true) else {
                 break;
             };
-            let Some((receiver, low)) = extreme(&loads, |a, b| a < b) else {
-                break;
+            let chance = |who: &Incarnation| {
+                let speed = speeds.get(who).copied().unwrap_or(1.0);
+                KeyRates::chance(mean * speed) / speed
             };
-            if high < mean * OVERLOAD && low > mean * UNDERLOAD {
+            let is_over =
+                |who: &Incarnation, load| load > mean * OVERLOAD && load - mean > chance(who);
+            let is_empty = low < even;
+            let is_under = low < mean * UNDERLOAD && mean - low > chance(&receiver);
+            let overloaded = extreme(&loads, |a, b| a > b, is_over);
+            let busiest = || extreme(&loads, |a, b| a > b, |_, _| true);
+            let Some((donor, high)) = overloaded.or_else(|| match is_empty || is_under {
+                true => busiest(),
+                false => None,
+            }) else {
                 break;
-            }
+            };
             let (fast, slow) = (speeds[&receiver], speeds[&donor]);
-            let wanted = ((high - mean).max(mean * WORTHWHILE) * slow).min((mean - low) * fast);
+            let spare = match is_empty {
+                true => (high - mean).max(high * FIRST_SHARE),
+                false => (high - mean).max(mean * WORTHWHILE),
+            };
+            let wanted = (spare * slow).min((mean - low) * fast);
             if wanted < mean * WORTHWHILE {
                 break;
             }
@@ -285,8 +326,7 @@
     }
 
     fn load(&self, from: Key, to: Key, even: f64) -> f64 {
-        let hot: f64 = self.rates.between(from, to).map(|(_, rate)| rate).sum();
-        hot + (f64::from(to - from) + 1.0) * even
+        self.rates.total_between(from, to) + (f64::from(to - from) + 1.0) * even
     }
 
     /// Returns the donor's keys that aren't changing hands.
@@ -365,12 +405,14 @@
     }
 }
 
+/// Returns the owner whose load beats all others' among those that `counts` admits.
 fn extreme(
     loads: &BTreeMap<Incarnation, f64>,
     beats: impl Fn(f64, f64) -> bool,
+    counts: impl Fn(&Incarnation, f64) -> bool,
 ) -> Option<(Incarnation, f64)> {
     let mut best: Option<(&Incarnation, f64)> = None;
-    for (who, load) in loads {
+    for (who, load) in loads.iter().filter(|(who, load)| counts(who, **load)) {
         if best.is_none_or(|(_, other)| beats(*load, other)) {
             best = Some((who, *load));
         }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -1,6 +1,7 @@
 //! The directory under seeded schedules of faults: owners, fences, acknowledgements, membership.
 
 mod model;
+mod scale;
 
 use model::{Faults, World};
 use rand::RngExt;
