Keep ranges of keys few: join neighbours of one owner, give idle small ones back

Cause: spreading a run of hot keys cuts ranges to single keys, and nothing ever put them together again.

Neighbouring ranges of one owner get a common fence. Above two ranges an upstream (and 256 in all) small ranges that get under 2 requests/s go to the neighbour's owner, at most 8 each 150 ms. A load that lasted seconds, not one of hot keys, is moved from the edge of a range and not from its middle. With over 128 upstreams the first layout has one range an upstream. A move waits for grants in flight on its keys under whatever fence, since joined ranges may have been granted under former ones.

Ruled out on the way: ranges up to 512 keys as small (all ranges of 231 upstreams are), and moving a piece beside its new owner's keys on before they were joined (60 moves/s for ever).

--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -20,73 +20,109 @@
 /// A load that lies less than this many standard deviations from the mean may do so by chance: with
 /// some hundred owners, three are passed by one of them in most rounds.
 const CHANCE_DEVIATIONS: f64 = 4.0;
-/// An owner without keys is given this share of its donor's load at once.
-const FIRST_SHARE: f64 = 0.5;
+/// The same for what was counted within a second: owners' true loads differ too.
+const RECENT_DEVIATIONS: f64 = 6.0;
+/// An owner with too little is given up to this share of a donor's load at once: many small moves would
+/// leave many small ranges.
+const GIVEN_SHARE: f64 = 0.5;
 /// The share of all load that counts as spread evenly over the keys, so that empty upstreams are
 /// given keys also where nothing is known of the load.
 const EVEN_SHARE: f64 = 0.2;
 /// The load that is assumed when none was reported, in requests a second.
 const EVEN_FLOOR: f64 = 10.0;
-/// Half of a key's counted requests are forgotten after this long, in milliseconds.
-const HALF_LIFE_MS: f64 = 1_000.0;
-/// A key below this many requests a second is no longer counted on its own.
-const COLD_RATE: f64 = 0.02;
+/// Half of a key's counted requests are forgotten after this long, in milliseconds: a run of hot keys is
+/// found within it.
+const RECENT_HALF_LIFE_MS: f64 = 1_000.0;
+/// The same for the longer measure, which tells differences from chance where requests are few.
+const LASTING_HALF_LIFE_MS: f64 = 8_000.0;
+/// A key of which less than this many requests are left in a count is no longer counted on its own.
+const COLD_COUNT: f64 = 0.02;
 
-/// Requests a second, by key.
-#[derive(Clone, Debug, Default)]
-pub struct KeyRates {
+/// Requests a second by key, measured over one time.
+#[derive(Clone, Debug)]
+struct Decaying {
+    half_life_ms: f64,
     counts: BTreeMap<Key, f64>,
 }
 
-impl KeyRates {
-    /// Adds requests that were seen.
-    pub fn add(&mut self, key: Key, count: u32) {
-        *self.counts.entry(key).or_default() += f64::from(count);
+impl Decaying {
+    fn new(half_life_ms: f64) -> Decaying {
+        Decaying {
+            half_life_ms,
+            counts: BTreeMap::new(),
+        }
     }
 
-    /// Forgets a part of what was seen `elapsed_ms` ago.
-    pub fn decay(&mut self, elapsed_ms: u64) {
-        let keep = 0.5_f64.powf(elapsed_ms as f64 / HALF_LIFE_MS);
+    fn decay(&mut self, elapsed_ms: u64) {
+        let keep = 0.5_f64.powf(elapsed_ms as f64 / self.half_life_ms);
         self.counts.retain(|_, count| {
             *count *= keep;
-            *count >= COLD_RATE
+            *count >= COLD_COUNT
         });
     }
 
-    fn rate(count: f64) -> f64 {
-        count * std::f64::consts::LN_2 / (HALF_LIFE_MS / 1_000.0)
-    }
-
     fn between(&self, from: Key, to: Key) -> impl Iterator<Item = (Key, f64)> + '_ {
-        self.counts
-            .range(from..=to)
-            .map(|(key, count)| (*key, KeyRates::rate(*count)))
+        let per_s = std::f64::consts::LN_2 / (self.half_life_ms / 1_000.0);
+        let counts = self.counts.range(from..=to);
+        counts.map(move |(key, count)| (*key, count * per_s))
     }
 
-    /// Returns the requests a second of `from..=to`.
-    pub fn total_between(&self, from: Key, to: Key) -> f64 {
+    fn total(&self, from: Key, to: Key) -> f64 {
         self.between(from, to).map(|(_, rate)| rate).sum()
     }
 
-    fn total(&self) -> f64 {
-        self.counts.values().map(|c| KeyRates::rate(*c)).sum()
+    /// Returns the standard deviation of a measured rate, when requests come independently of each other:
+    /// that of a Poisson count under weights that halve every half-life.
+    fn deviation(&self, rate: f64) -> f64 {
+        (rate * std::f64::consts::LN_2 / (2.0 * self.half_life_ms / 1_000.0)).sqrt()
     }
+}
 
-    /// Returns how far a measured rate may lie from the true one by chance, in requests a second, when
-    /// requests come independently of each other.
+/// Requests a second, by key.
+#[derive(Clone, Debug)]
+pub struct KeyRates {
+    recent: Decaying,
+    lasting: Decaying,
+}
+
+impl Default for KeyRates {
+    fn default() -> KeyRates {
+        KeyRates {
+            recent: Decaying::new(RECENT_HALF_LIFE_MS),
+            lasting: Decaying::new(LASTING_HALF_LIFE_MS),
+        }
+    }
+}
+
+impl KeyRates {
+    /// Adds requests that were seen.
+    pub fn add(&mut self, key: Key, count: u32) {
+        for measure in [&mut self.recent, &mut self.lasting] {
+            *measure.counts.entry(key).or_default() += f64::from(count);
+        }
+    }
+
+    /// Forgets a part of what was seen `elapsed_ms` ago.
+    pub fn decay(&mut self, elapsed_ms: u64) {
+        self.recent.decay(elapsed_ms);
+        self.lasting.decay(elapsed_ms);
+    }
+
+    /// Returns the requests a second of `from..=to` within the last second.
     ///
     /// # Examples
     ///
     /// ```
     /// use carobreel::directory::balance::KeyRates;
     ///
-    /// assert!(KeyRates::chance(7.0) > 0.8 * 7.0);
-    /// assert!(KeyRates::chance(400.0) < 0.15 * 400.0);
+    /// let mut rates = KeyRates::default();
+    /// rates.add(7, 10);
+    /// assert!(rates.total_between(0, 9) > 6.0);
+    /// rates.decay(10_000);
+    /// assert_eq!(rates.total_between(0, 9), 0.0);
     /// ```
-    pub fn chance(rate: f64) -> f64 {
-        // A Poisson count under weights that halve every half-life.
-        let variance = rate * std::f64::consts::LN_2 / (2.0 * HALF_LIFE_MS / 1_000.0);
-        CHANCE_DEVIATIONS * variance.sqrt()
+    pub fn total_between(&self, from: Key, to: Key) -> f64 {
+        self.recent.total(from, to)
     }
 }
 
@@ -189,15 +225,28 @@
 impl Plan<'_> {
     /// Returns at most `most` transfers.
     pub fn transfers(&self, most: usize) -> Vec<Transfer> {
-        let even = (self.rates.total() * EVEN_SHARE).max(EVEN_FLOOR) / 65_536.0;
+        let even = even_rate(&self.rates.recent);
         let speeds = self.speeds.of(self.owners);
-        let mut loads = self.loads(even);
+        let mut loads = self.loads(&self.rates.recent, &speeds);
         if loads.len() < 2 {
             return Vec::new();
         }
-        let mean = loads.values().sum::<f64>() / speeds.values().sum::<f64>();
+        let mean = mean_load(&loads, &speeds);
+        let lasting = self.loads(&self.rates.lasting, &speeds);
+        let scale = mean / mean_load(&lasting, &speeds);
+        let deviation = |measure: &Decaying, who: &Incarnation| {
+            let speed = speeds.get(who).copied().unwrap_or(1.0);
+            measure.deviation(mean * speed) / speed
+        };
+        // What was seen within a second counts only where it can't be chance.
+        let mut hot_donors: BTreeSet<Incarnation> = BTreeSet::new();
         for (who, load) in &mut loads {
-            *load /= speeds.get(who).copied().unwrap_or(1.0);
+            let chance = RECENT_DEVIATIONS * deviation(&self.rates.recent, who);
+            if *load - mean > chance {
+                hot_donors.insert(who.clone());
+            } else if let Some(lasting) = lasting.get(who).filter(|_| mean - *load < chance) {
+                *load = lasting * scale;
+            }
         }
         let mut chosen = self.hot_keys(mean, &speeds);
         for t in &chosen {
@@ -207,32 +256,29 @@
             let Some((receiver, low)) = extreme(&loads, |a, b| a < b, |_, _| true) else {
                 break;
             };
-            let chance = |who: &Incarnation| {
-                let speed = speeds.get(who).copied().unwrap_or(1.0);
-                KeyRates::chance(mean * speed) / speed
-            };
+            let chance =
+                |who: &Incarnation| CHANCE_DEVIATIONS * deviation(&self.rates.lasting, who);
             let is_over =
                 |who: &Incarnation, load| load > mean * OVERLOAD && load - mean > chance(who);
             let is_empty = low < even;
             let is_under = low < mean * UNDERLOAD && mean - low > chance(&receiver);
             let overloaded = extreme(&loads, |a, b| a > b, is_over);
-            let busiest = || extreme(&loads, |a, b| a > b, |_, _| true);
-            let Some((donor, high)) = overloaded.or_else(|| match is_empty || is_under {
-                true => busiest(),
-                false => None,
-            }) else {
+            let needs_keys = is_empty || is_under;
+            let busiest = || extreme(&loads, |a, b| a > b, |_, _| needs_keys);
+            let Some((donor, high)) = overloaded.or_else(busiest) else {
                 break;
             };
             let (fast, slow) = (speeds[&receiver], speeds[&donor]);
-            let spare = match is_empty {
-                true => (high - mean).max(high * FIRST_SHARE),
-                false => (high - mean).max(mean * WORTHWHILE),
+            let spare = match needs_keys {
+                true => (high - mean).max(high * GIVEN_SHARE),
+                false => high - mean,
             };
             let wanted = (spare * slow).min((mean - low) * fast);
             if wanted < mean * WORTHWHILE {
                 break;
             }
-            let Some((from, to)) = self.segment(&donor, wanted, high - low, even, &chosen) else {
+            let gap = hot_donors.contains(&donor).then_some(high - low);
+            let Some((from, to)) = self.segment(&donor, wanted, gap, even, &chosen) else {
                 // This donor has nothing suitable, such as a single hot key: the next one may.
                 loads.remove(&donor);
                 if loads.len() < 2 {
@@ -255,7 +301,7 @@
     /// Moves keys that are too hot for their owner to the fastest upstream that has none such.
     fn hot_keys(&self, mean: f64, speeds: &BTreeMap<Incarnation, f64>) -> Vec<Transfer> {
         let mut chosen = Vec::new();
-        let all = self.rates.between(0, Key::MAX);
+        let all = self.rates.recent.between(0, Key::MAX);
         let hot: Vec<(Key, f64)> = all.filter(|(_, rate)| *rate > mean * HOT_KEY).collect();
         let is_moving = |key: Key| self.moving.iter().any(|m| m.from <= key && key <= m.to);
         let mut taken: BTreeSet<&Incarnation> = hot
@@ -294,7 +340,7 @@
         t: &Transfer,
         even: f64,
     ) {
-        let load = self.load(t.from, t.to, even);
+        let load = load(&self.rates.recent, t.from, t.to, even);
         let speed = |who: &Incarnation| speeds.get(who).copied().unwrap_or(1.0);
         if let Some(donor) = loads.get_mut(&t.donor) {
             *donor -= load / speed(&t.donor);
@@ -304,16 +350,23 @@
         }
     }
 
-    fn loads(&self, even: f64) -> BTreeMap<Incarnation, f64> {
+    /// Returns the load of each owner by one measure, for its speed.
+    fn loads(
+        &self,
+        measure: &Decaying,
+        speeds: &BTreeMap<Incarnation, f64>,
+    ) -> BTreeMap<Incarnation, f64> {
+        let even = even_rate(measure);
+        let load_of = |from: Key, to: Key| load(measure, from, to, even);
         let mut loads: BTreeMap<Incarnation, f64> =
             self.owners.iter().map(|o| (o.clone(), 0.0)).collect();
         for range in self.table.ranges.values() {
             if let Some(load) = loads.get_mut(&range.owner) {
-                *load += self.load(range.from, range.to, even);
+                *load += load_of(range.from, range.to);
             }
         }
         for m in self.moving {
-            let moved = self.load(m.from, m.to, even);
+            let moved = load_of(m.from, m.to);
             let donor = self.table.owner_of(m.from).map(|r| &r.owner);
             if let Some(load) = donor.and_then(|d| loads.get_mut(d)) {
                 *load -= moved;
@@ -322,13 +375,12 @@
                 *load += moved;
             }
         }
+        for (who, load) in &mut loads {
+            *load /= speeds.get(who).copied().unwrap_or(1.0);
+        }
         loads
     }
 
-    fn load(&self, from: Key, to: Key, even: f64) -> f64 {
-        self.rates.total_between(from, to) + (f64::from(to - from) + 1.0) * even
-    }
-
     /// Returns the donor's keys that aren't changing hands.
     fn free_parts(&self, donor: &Incarnation, chosen: &[Transfer]) -> Vec<(Key, Key)> {
         let moving = self.moving.iter().map(|m| (m.from, m.to));
@@ -342,19 +394,23 @@
             .collect()
     }
 
-    /// Finds adjacent keys of `donor` that carry about `wanted`, as few as can be.
+    /// Finds adjacent keys of `donor` that carry about `wanted`: where it has hot keys, and is `hot_gap`
+    /// above the receiver, as few as can be; else those at the edge of its largest range, which leave one
+    /// range behind and not two.
     fn segment(
         &self,
         donor: &Incarnation,
         wanted: f64,
-        gap: f64,
+        hot_gap: Option<f64>,
         even: f64,
         chosen: &[Transfer],
     ) -> Option<(Key, Key)> {
         let parts = self.free_parts(donor, chosen);
         let mut best: Option<(f64, Key, Key)> = None;
-        for (first, last) in &parts {
-            let hot: Vec<(Key, f64)> = self.rates.between(*first, *last).collect();
+        let searched = hot_gap.map_or(0, |_| parts.len());
+        let gap = hot_gap.unwrap_or(0.0);
+        for (first, last) in parts.iter().take(searched) {
+            let hot: Vec<(Key, f64)> = self.rates.recent.between(*first, *last).collect();
             let mut start = 0;
             let mut sum = 0.0;
             for end in 0..hot.len() {
@@ -388,7 +444,7 @@
     fn even_segment(&self, part: (Key, Key), wanted: f64, even: f64) -> Option<(Key, Key)> {
         let (from, last) = part;
         let mut sum = 0.0;
-        let mut hot = self.rates.between(from, last).peekable();
+        let mut hot = self.rates.recent.between(from, last).peekable();
         let mut to = from;
         loop {
             sum += even;
@@ -405,6 +461,22 @@
     }
 }
 
+/// Returns the load that every key counts with, whether it was asked for or not, in requests a second.
+fn even_rate(measure: &Decaying) -> f64 {
+    (measure.total(0, Key::MAX) * EVEN_SHARE).max(EVEN_FLOOR) / 65_536.0
+}
+
+fn load(measure: &Decaying, from: Key, to: Key, even: f64) -> f64 {
+    measure.total(from, to) + (f64::from(to - from) + 1.0) * even
+}
+
+/// Returns the load that each owner would carry by its speed.
+fn mean_load(loads: &BTreeMap<Incarnation, f64>, speeds: &BTreeMap<Incarnation, f64>) -> f64 {
+    let speed = |who: &Incarnation| speeds.get(who).copied().unwrap_or(1.0);
+    let total: f64 = loads.iter().map(|(who, load)| load * speed(who)).sum();
+    total / speeds.values().sum::<f64>()
+}
+
 /// Returns the owner whose load beats all others' among those that `counts` admits.
 fn extreme(
     loads: &BTreeMap<Incarnation, f64>,
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod moves;
+mod tidy;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -44,8 +45,10 @@
 const HOT_KEY_REST_MS: u64 = 2_500;
 /// The first layout waits this long for a service's upstreams to appear, in milliseconds.
 const GATHER_MS: u64 = 1_000;
-/// Ranges that each upstream gets in the first layout.
+/// Ranges that each upstream gets in the first layout, where upstreams are few.
 const RANGES_FIRST: usize = 2;
+/// With more upstreams than this each one gets a single range: every range is renewed by the leader.
+const RANGES_SINGLE_FROM: usize = 128;
 
 /// A call to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -322,6 +325,9 @@
         if may_call {
             self.renew(state, now, &mut step);
         }
+        if plan_due {
+            self.join_neighbours(state, &mut step);
+        }
         step
     }
 
@@ -372,7 +378,7 @@
             return;
         }
         self.proposed_layout.insert(service.to_string());
-        let pieces = candidates.len() * RANGES_FIRST;
+        let pieces = first_ranges(candidates.len());
         for (from, to) in gaps {
             let keys = u32::from(to) - u32::from(from) + 1;
             let width = keys.div_ceil(pieces as u32).max(1);
@@ -457,6 +463,14 @@
     }
 }
 
+/// Returns how many ranges the keys of a service with `upstreams` upstreams are divided into at first.
+fn first_ranges(upstreams: usize) -> usize {
+    match upstreams > RANGES_SINGLE_FROM {
+        true => upstreams,
+        false => upstreams * RANGES_FIRST,
+    }
+}
+
 fn inherited(hold_ms: u64, elected_at: Mono) -> Bounds {
     Bounds {
         confirmed_until: elected_at,
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -49,15 +49,22 @@
             }
         }
         let room = MOVES_MAX.saturating_sub(self.moves.len());
-        let rates = self.rates.entry(service.to_string()).or_default();
+        let unknown = KeyRates::default();
         let plan = Plan {
             table,
-            rates,
+            rates: self.rates.get(service).unwrap_or(&unknown),
             speeds: &self.speeds,
             owners: &candidates,
             moving: &moving,
         };
-        for transfer in plan.transfers(room) {
+        let for_load = plan.transfers(room);
+        let room = room - for_load.len().min(room);
+        let mut small = self.small_ranges(service, table, &candidates, room);
+        small.retain(|t| for_load.iter().all(|l| l.to < t.from || t.to < l.from));
+        let hot = for_load.iter().filter(|t| t.from == t.to);
+        let hot = hot.map(|t| ((service.to_string(), t.from), now));
+        self.moved_alone.extend(hot);
+        for transfer in for_load.into_iter().chain(small) {
             let Some(range) = table.owner_of(transfer.from) else {
                 continue;
             };
@@ -66,10 +73,6 @@
                 to: transfer.to,
                 ..range.clone()
             };
-            if part.from == part.to {
-                let place = (service.to_string(), part.from);
-                self.moved_alone.insert(place, now);
-            }
             started.push((part, Some(transfer.receiver)));
         }
         for (range, receiver) in started {
@@ -200,9 +203,10 @@
 
     pub(super) fn has_grant_in_flight(&self, m: &Move) -> bool {
         self.pending.values().any(|p| match p {
+            // Whatever its fence: joined ranges may have been granted under their former ones.
             Pending::Grant { place, to, .. } => {
-                let (service, fence, from) = place;
-                *service == m.service && *fence == m.fence && *from <= m.to && *to >= m.from
+                let (service, _, from) = place;
+                *service == m.service && *from <= m.to && *to >= m.from
             }
             Pending::Release { .. } => false,
         })
