Bound the calls that a leader has open, and start the longest due first

At most 64 grants and 64 releases are open at once, at 400 grants a second or half more than renewing takes, the longest due first; two renewals a hold and not three; a pause that doubles where nothing could be sent; a call whose lease ended gives its connection back; two idle connections an upstream are kept. What is to be renewed is worked out only when the table of owners or the moves changed, and not every 40 ms.

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -21,8 +21,9 @@
 /// A granted range: its service, its fencing token and its first key.
 type Place = (String, u64, Key);
 
-/// Renewals go out this many times while a grant lasts, so that one may be lost.
-const RENEWALS_PER_HOLD: u64 = 3;
+/// Renewals go out this many times while a grant lasts. One that is lost is sent again after
+/// [`GRANT_TIMEOUT_MS`] and [`RETRY_MS`], well within the rest.
+const RENEWALS_PER_HOLD: u64 = 2;
 /// Time for which an upstream's slow clock may stretch a hold: 2% by contract, and one for rounding.
 const SLOW_CLOCK_PERCENT: u64 = 3;
 /// What is added to each bound for timers and delivery, in milliseconds.
@@ -36,6 +37,18 @@
 const UNANSWERED_MAX: u32 = 2;
 /// The pause before a failed call is made again, in milliseconds.
 const RETRY_MS: u64 = 150;
+/// The same after several failures in a row, each of which doubles it: an upstream that can't be connected
+/// to is probably gone.
+const RETRY_MOST_MS: u64 = 1_200;
+/// Grants that wait for an answer at once: what a leader can see through before its lease ends.
+const GRANTS_IN_FLIGHT_MAX: usize = 64;
+/// Releases that wait for an answer at once; they may take as long as the work on their keys.
+const RELEASES_IN_FLIGHT_MAX: usize = 64;
+/// Grants a second where ranges are few: what is due at once after an election is spread over the time
+/// that the fewest need anyway.
+const GRANTS_PER_S: u64 = 400;
+/// Grants a second as a share of those that renewing all ranges takes, where that is more.
+const GRANTS_SHARE_PERCENT: u64 = 150;
 /// Ranges that may change owner at once.
 const MOVES_MAX: usize = 24;
 /// Between two planning rounds, in milliseconds.
@@ -146,8 +159,11 @@
 #[derive(Clone, Debug)]
 struct Renewal {
     to: Key,
+    owner: Incarnation,
     in_flight: bool,
     next_at: Mono,
+    /// Times in a row that nothing could be sent.
+    failures: u32,
     handover: Option<String>,
     granted: bool,
 }
@@ -183,6 +199,13 @@
     doubtful_until: Mono,
 }
 
+/// The version of the table of owners, and which keys are changing hands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Layout {
+    owners: u64,
+    moving: Vec<(u64, Key, Key)>,
+}
+
 #[derive(Clone, Debug)]
 enum Pending {
     Grant {
@@ -212,6 +235,11 @@
     elected_at: Mono,
     bounds: BTreeMap<Incarnation, Bounds>,
     renewals: BTreeMap<Place, Renewal>,
+    /// What `renewals` was made from.
+    adopted: Option<Layout>,
+    /// Grants that may be sent now, in thousandths.
+    allowance: u64,
+    renewed_at: Mono,
     moves: Vec<Move>,
     pending: BTreeMap<u64, Pending>,
     handovers: BTreeMap<(String, Key, Key), String>,
@@ -237,6 +265,9 @@
             elected_at,
             bounds: BTreeMap::new(),
             renewals: BTreeMap::new(),
+            adopted: None,
+            allowance: 0,
+            renewed_at: elected_at,
             moves: Vec::new(),
             pending: BTreeMap::new(),
             handovers: BTreeMap::new(),
@@ -415,36 +446,44 @@
         }
     }
 
-    /// Sends grants and renewals that are due.
+    /// Sends grants and renewals that are due, the longest due first, as far as the leader can see them
+    /// through.
     fn renew(&mut self, state: &State, now: Mono, step: &mut Step) {
-        let mut wanted: BTreeMap<Place, (Key, Incarnation)> = BTreeMap::new();
-        for (service, table) in &state.owners {
-            for range in table.ranges.values() {
-                for (from, to) in self.settled_parts(service, range) {
-                    let place = (service.clone(), range.fence, from);
-                    wanted.insert(place, (to, range.owner.clone()));
-                }
-            }
-        }
-        self.adopt(&wanted, state, now);
-        for (place, (to, owner)) in wanted {
-            let Some(upstream) = state.live(&owner) else {
-                continue;
-            };
-            let unanswered = self.bounds.get(&owner).map_or(0, |b| b.unanswered);
-            let is_silent = self.is_silent(&owner, now) || unanswered >= UNANSWERED_MAX;
+        self.follow_layout(state, now);
+        let in_flight = self.grants_in_flight();
+        let needed = self.renewals.len() as u64 * 1_000 * RENEWALS_PER_HOLD / self.hold_ms;
+        let per_s = GRANTS_PER_S.max(needed * GRANTS_SHARE_PERCENT / 100);
+        let earned = now.since(self.renewed_at) * per_s;
+        let room = GRANTS_IN_FLIGHT_MAX.saturating_sub(in_flight);
+        self.renewed_at = now;
+        self.allowance = (self.allowance + earned).min(GRANTS_IN_FLIGHT_MAX as u64 * 1_000);
+        let most = room.min((self.allowance / 1_000) as usize);
+        let due = self.renewals.iter().filter(|(_, r)| {
+            let unanswered = self.bounds.get(&r.owner).map_or(0, |b| b.unanswered);
+            !r.in_flight
+                && now >= r.next_at
+                && unanswered < UNANSWERED_MAX
+                && !self.is_silent(&r.owner, now)
+                && state.live(&r.owner).is_some()
+        });
+        let mut due: Vec<(Mono, Place)> = due.map(|(p, r)| (r.next_at, p.clone())).collect();
+        due.sort();
+        due.truncate(most);
+        self.allowance -= due.len() as u64 * 1_000;
+        for (_, place) in due {
+            let number = self.number();
             let Some(renewal) = self.renewals.get_mut(&place) else {
                 continue;
             };
-            if renewal.in_flight || now < renewal.next_at || is_silent {
+            let (owner, to) = (renewal.owner.clone(), renewal.to);
+            let Some(upstream) = state.live(&owner) else {
                 continue;
-            }
+            };
             renewal.in_flight = true;
             let handover = renewal.handover.clone();
-            let number = self.number();
             let (service, fence, from) = place.clone();
-            self.pending
-                .insert(number, Pending::Grant { owner, place, to });
+            let pending = Pending::Grant { owner, place, to };
+            self.pending.insert(number, pending);
             step.calls.push(Call {
                 number,
                 address: upstream.address,
@@ -461,6 +500,15 @@
             });
         }
     }
+
+    fn grants_in_flight(&self) -> usize {
+        let is_grant = |p: &&Pending| matches!(p, Pending::Grant { .. });
+        self.pending.values().filter(is_grant).count()
+    }
+
+    fn releases_in_flight(&self) -> usize {
+        self.pending.len() - self.grants_in_flight()
+    }
 }
 
 /// Returns how many ranges the keys of a service with `upstreams` upstreams are divided into at first.
--- a/src/directory/lessor/book.rs
+++ b/src/directory/lessor/book.rs
@@ -18,33 +18,53 @@
         parts_outside(range.from, range.to, cuts)
     }
 
-    /// Follows the table: parts that were cut off a granted range are renewed when it was due.
-    pub(super) fn adopt(
-        &mut self,
-        wanted: &BTreeMap<Place, (Key, Incarnation)>,
-        state: &State,
-        now: Mono,
-    ) {
+    /// Follows the table of owners, when it or what is changing hands isn't as it was.
+    pub(super) fn follow_layout(&mut self, state: &State, now: Mono) {
+        let moving = self.moves.iter().map(|m| (m.fence, m.from, m.to));
+        let layout = Layout {
+            owners: state.versions.owners,
+            moving: moving.collect(),
+        };
+        if self.adopted.as_ref() == Some(&layout) {
+            return;
+        }
+        let mut wanted: BTreeMap<Place, (Key, Incarnation)> = BTreeMap::new();
+        for (service, table) in &state.owners {
+            for range in table.ranges.values() {
+                for (from, to) in self.settled_parts(service, range) {
+                    let place = (service.clone(), range.fence, from);
+                    wanted.insert(place, (to, range.owner.clone()));
+                }
+            }
+        }
+        self.adopt(wanted, state, now);
+        self.adopted = Some(layout);
+    }
+
+    /// Parts that were cut off a granted range are renewed when it was due.
+    fn adopt(&mut self, wanted: BTreeMap<Place, (Key, Incarnation)>, state: &State, now: Mono) {
         let old = std::mem::take(&mut self.renewals);
-        for (place, (to, _)) in wanted {
-            let (service, fence, from) = place;
+        for (place, (to, owner)) in wanted {
+            let (service, fence, from) = &place;
             let within = old.range((service.clone(), *fence, 0)..=place.clone());
             let parent = within.rev().find(|(_, r)| r.to >= *from);
             let mut next = match parent {
                 Some((at, parent)) => Renewal {
-                    in_flight: parent.in_flight && at == place,
+                    in_flight: parent.in_flight && *at == place,
                     ..parent.clone()
                 },
                 None => Renewal {
-                    to: *to,
+                    to,
+                    owner,
                     in_flight: false,
                     next_at: now,
+                    failures: 0,
                     handover: self.taken_handover(service, *fence, *from, state),
                     granted: false,
                 },
             };
-            next.to = *to;
-            self.renewals.insert(place.clone(), next);
+            next.to = to;
+            self.renewals.insert(place, next);
         }
     }
 
@@ -75,6 +95,7 @@
         let bounds = self.bounds.entry(owner).or_default();
         let mut next_at = now.plus(RETRY_MS);
         let is_done = matches!(result, CallResult::Done(_));
+        let is_not_sent = result == CallResult::NotSent;
         match result {
             CallResult::Done(_) => {
                 bounds.confirmed_until = bounds.confirmed_until.max(until);
@@ -96,6 +117,13 @@
         }
         if let Some(renewal) = self.renewals.get_mut(place) {
             renewal.in_flight = false;
+            if is_not_sent {
+                let pause_ms = RETRY_MS << renewal.failures.min(3);
+                next_at = now.plus(pause_ms.min(RETRY_MOST_MS));
+                renewal.failures += 1;
+            } else {
+                renewal.failures = 0;
+            }
             renewal.next_at = next_at;
             renewal.granted |= is_done;
         }
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -131,9 +131,10 @@
             // A successor of the donor at its address may have taken a renewal that was meant for it,
             // so that the end of a process isn't the end of what it was granted.
             let donor = state.upstreams.get(&m.donor.id);
+            let may_release = may_call && self.releases_in_flight() < RELEASES_IN_FLIGHT_MAX;
             if now >= m.expires_at {
                 m.stage = Stage::Waiting(now);
-            } else if let (Some(donor), true, true) = (donor, may_call, now >= at) {
+            } else if let (Some(donor), true, true) = (donor, may_release, now >= at) {
                 let number = self.number();
                 let pending = Pending::Release {
                     service: m.service.clone(),
--- a/src/http.rs
+++ b/src/http.rs
@@ -143,9 +143,14 @@
         }
     }
 
+    /// Tells whether a connection is open.
+    pub fn is_open(&self) -> bool {
+        self.sender.as_ref().is_some_and(SendRequest::is_ready)
+    }
+
     /// Opens a connection, unless one is open.
     pub async fn open(&mut self) -> Result<(), Report<HttpError>> {
-        if self.sender.as_ref().is_some_and(SendRequest::is_ready) {
+        if self.is_open() {
             return Ok(());
         }
         self.sender = Some(connect(self.address, self.resets).await?);
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -21,6 +21,11 @@
 /// The header in which an upstream hands over what it knows of released keys.
 const HANDOVER: &str = "carobreel-handover";
 
+/// Idle connections that are kept to one upstream: calls to it seldom overlap.
+const IDLE_MAX: usize = 2;
+/// With more addresses than this, those whose connections have ended are forgotten.
+const ADDRESSES_MAX: usize = 1_024;
+
 /// Calls upstreams on connections that are kept open.
 #[derive(Debug)]
 pub struct KeyClient {
@@ -41,6 +46,18 @@
         let open = lock(&self.idle).get_mut(&address).and_then(Vec::pop);
         open.unwrap_or_else(|| Client::resetting(address))
     }
+
+    /// Keeps a connection for the next call to its upstream.
+    fn put_back(&self, address: SocketAddr, client: Client) {
+        let mut idle = lock(&self.idle);
+        if idle.len() > ADDRESSES_MAX {
+            idle.retain(|_, clients| clients.iter().any(Client::is_open));
+        }
+        let clients = idle.entry(address).or_default();
+        if clients.len() < IDLE_MAX {
+            clients.push(client);
+        }
+    }
 }
 
 impl KeyCalls for KeyClient {
@@ -51,15 +68,13 @@
             return CallResult::NotSent;
         }
         if self.clock.now() >= until {
+            self.put_back(call.address, client);
             return CallResult::LeaseEnded;
         }
         let request = request(&call).timeout(Duration::from_millis(call.timeout_ms));
         match client.send(request).await {
             Ok(answer) => {
-                lock(&self.idle)
-                    .entry(call.address)
-                    .or_default()
-                    .push(client);
+                self.put_back(call.address, client);
                 result(&answer)
             }
             // The failure is logged with the result, where its consequences are decided.
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -91,6 +91,9 @@
     pub load: Load,
     /// Configurations that an entry host didn't have in time, with how many.
     pub late: Vec<(u64, usize)>,
+    /// Calls to upstreams that wait for an answer, now and at most.
+    pub calls_open: usize,
+    pub calls_open_most: usize,
     entries: Vec<EntryHost>,
     nodes: Vec<Node>,
     queue: BinaryHeap<Reverse<Queued>>,
@@ -123,6 +126,8 @@
             reopened: 0,
             load,
             late: Vec::new(),
+            calls_open: 0,
+            calls_open_most: 0,
             entries: (0..load.entry_hosts)
                 .map(|_| EntryHost::default())
                 .collect(),
@@ -338,6 +343,7 @@
             Event::Deliver(n, messages) => self.step(n, |m, now| m.receive(messages, now)),
             Event::Ask(n, ask, token) => self.ask(n, ask, token),
             Event::Called(n, life, number, result) => {
+                self.calls_open -= 1;
                 if self.lives[n] == life {
                     self.step(n, |m, now| m.finish_call(number, result, now));
                 }
@@ -411,6 +417,8 @@
             let delay = self.delay(n, to);
             self.push(delay, Event::Deliver(to, messages));
         }
+        self.calls_open += output.calls.len();
+        self.calls_open_most = self.calls_open_most.max(self.calls_open);
         for call in output.calls {
             let delay = self.rng.random_range(1..60);
             if Mono(self.now + delay) >= output.calls_until {
--- a/tests/model/trouble.rs
+++ b/tests/model/trouble.rs
@@ -21,7 +21,11 @@
             self.nodes[n].disk = Disk::default();
         }
         self.lives[n] += 1;
-        self.nodes[n].backlog.clear();
+        let lost = std::mem::take(&mut self.nodes[n].backlog);
+        self.calls_open -= lost
+            .iter()
+            .filter(|e| matches!(e, Event::Called(..)))
+            .count();
         self.nodes[n].busy_until_us = 0;
         self.push(down_ms, Event::Restart(n));
     }
--- a/tests/scale/mod.rs
+++ b/tests/scale/mod.rs
@@ -10,6 +10,9 @@
 const REQUESTS_PER_S: f64 = 1_667.0;
 /// The share of a processor that a directory host has.
 const SHARE: f64 = 0.15;
+/// Calls that a leader may have open at once, whatever is due: each one is a task and often a connection,
+/// of which a descriptor and some 30 KB of 256 MB are to be spared.
+const CALLS_OPEN_MAX: usize = 128;
 /// Ranges that a leader can renew: at most this many an upstream.
 const RANGES_PER_UPSTREAM: usize = 3;
 
@@ -108,3 +111,20 @@
         );
     }
 }
+
+#[test]
+fn what_is_due_at_once_after_an_election_isn_t_started_at_once() {
+    let mut world = started(3, None);
+    // Some of them take their calls late or not at all.
+    for n in 0..40 {
+        world.upstreams.crash(n * 5);
+    }
+    world.calls_open_most = 0;
+    for n in 0..4 {
+        world.kill(n, 700, false);
+    }
+    world.run(RECOVERY_MS);
+    let most = world.calls_open_most;
+    assert!(most <= CALLS_OPEN_MAX, "{most} calls open at once");
+    assert_eq!(world.upstreams.held(world.now), all_keys());
+}
