Open one connection to a host however many want it, and keep it while it is only slow

What callers saw: routes that an entry host didn't know in time (CONFIG), and leaders that never recovered (RECOVER). Cause: each request to a host without a connection opened one of its own, and each that wasn't answered in 0.7 to 1.2 s threw the connection away; a leader or a link that was late was asked for handshakes instead. Evidence: 130 connections opened by one leader to five peers, 99 given up (LeaderWorked); up to 240 PeerRefused a second; an entry host on a busy link of 5 Mbit/s without any answer for 7.3 s while it made a new connection for each try.

There is one attempt to connect at a time, which goes on when its caller gives up. A connection is given up only if nothing at all arrived on it meanwhile. An entry host waits up to 4.8 s for the leader's answer as long as anything arrives.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -395,10 +395,7 @@
                 Ok(Response::Directory(reply)) => reply,
                 // The caller asks again, here or elsewhere; every request bears that.
                 Ok(_) => Reply::NotLeader(None),
-                Err(_) => {
-                    endpoint.forget(&leader);
-                    Reply::NotLeader(None)
-                }
+                Err(_) => Reply::NotLeader(None),
             };
             let _ = tx.send(reply);
         });
--- a/src/directory/peers.rs
+++ b/src/directory/peers.rs
@@ -82,10 +82,11 @@
         channel.send(Request::Raft(batch)).await?;
         Ok::<_, Report<TransportError>>(channel)
     };
+    let watch = endpoint.watch(peer);
     match tokio::time::timeout(SEND_TIMEOUT, sending).await {
         Ok(Ok(channel)) => Some(channel),
         Ok(Err(_)) | Err(_) => {
-            endpoint.forget(peer);
+            endpoint.drop_silent(peer, watch);
             None
         }
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,6 +20,9 @@
 
 /// The leader's answer is awaited this long: the longest that it holds a request, and the way.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// It is awaited this long while other things arrive from the leader: asking again would put the same
+/// answer on a narrow link once more.
+const ANSWER_LIMIT: Duration = Duration::from_millis(4_800);
 /// A process that may know the leader is given this long before the next one is asked too.
 const STAGGER: Duration = Duration::from_millis(300);
 /// The pause after a round in which no leader was found.
@@ -222,7 +225,8 @@
 async fn exchange(endpoint: &Endpoint, log: &AskLog, host: String, ask: Ask) -> Found {
     let asked_at = log.clock.now();
     let request = Request::Directory(ask);
-    match endpoint.call(&host, request, ANSWER_TIMEOUT).await {
+    let answer = endpoint.call_while_heard(&host, request, ANSWER_TIMEOUT, ANSWER_LIMIT);
+    match answer.await {
         Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update),
         Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => Found::Elsewhere(leader),
         Ok(_) => {
@@ -231,7 +235,6 @@
         }
         Err(e) => {
             log.unanswered(&host, &e.current_context().to_string(), asked_at);
-            endpoint.forget(&host);
             Found::Nothing
         }
     }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,20 +4,23 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{
-    Connection, EndpointConfig, IdleTimeout, RecvStream, SendStream, TransportConfig, VarInt,
-};
+use quinn::{EndpointConfig, IdleTimeout, RecvStream, SendStream, TransportConfig, VarInt};
 
 use crate::event::{Event, Recorder};
 use crate::keys::Tls;
 use crate::wire::{self, Envelope, Request, Response, WireError};
 
+mod dial;
+
+use dial::Dial;
+pub use dial::{Dialled, Watch};
+
 /// A connection without any answer for this long is given up, in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 3_000;
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
@@ -73,21 +76,12 @@
 struct Inner {
     quic: quinn::Endpoint,
     addresses: BTreeMap<String, SocketAddr>,
-    connections: Mutex<BTreeMap<String, Connection>>,
+    connections: Mutex<BTreeMap<String, Dial>>,
     opened: AtomicU64,
     failed: AtomicU64,
     recorder: Recorder,
 }
 
-/// Connections that a process opened to others, since it started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Dialled {
-    /// Opened.
-    pub opened: u64,
-    /// Given up while they were being opened.
-    pub failed: u64,
-}
-
 /// A request from another process, with the stream to answer on.
 #[derive(Debug)]
 pub struct Incoming {
@@ -160,15 +154,8 @@
         self.inner.quic.local_addr().ok()
     }
 
-    /// Returns how many connections were opened to others.
-    pub fn dialled(&self) -> Dialled {
-        Dialled {
-            opened: self.inner.opened.load(Ordering::Relaxed),
-            failed: self.inner.failed.load(Ordering::Relaxed),
-        }
-    }
-
-    /// Asks a host and waits for its answer.
+    /// Asks a host and waits for its answer. A connection on which nothing at all arrived meanwhile is
+    /// given up; one on which something did is kept, since a new one would be no faster.
     ///
     /// # Errors
     ///
@@ -179,18 +166,41 @@
         request: Request,
         timeout: Duration,
     ) -> Result<Response, Report<TransportError>> {
-        let exchange = self.exchange(host, request);
-        let answer = tokio::time::timeout(timeout, exchange).await;
-        match answer {
-            Ok(result) => result,
-            Err(_) => Err(Report::new(TransportError::Timeout)),
-        }
+        self.call_while_heard(host, request, timeout, timeout).await
     }
 
-    /// Gives up the open connection to a host, which may have gone silent; the next request opens a
-    /// new one.
-    pub fn forget(&self, host: &str) {
-        self.connections().remove(host);
+    /// The same, but goes on waiting, up to `limit`, as long as something arrives within each
+    /// `patience`: the answer may be on its way on a narrow link.
+    pub async fn call_while_heard(
+        &self,
+        host: &str,
+        request: Request,
+        patience: Duration,
+        limit: Duration,
+    ) -> Result<Response, Report<TransportError>> {
+        let mut watch = self.watch(host);
+        let exchange = self.exchange(host, request);
+        tokio::pin!(exchange);
+        let mut waited = Duration::ZERO;
+        loop {
+            let turn = patience.min(limit - waited);
+            if let Ok(result) = tokio::time::timeout(turn, &mut exchange).await {
+                return result;
+            }
+            waited += turn;
+            if watch.connection.is_none() {
+                watch.connection = self.open_connection(host);
+            }
+            let has_heard = watch.has_heard();
+            if !has_heard {
+                if let Some(connection) = &watch.connection {
+                    self.drop_connection(host, connection);
+                }
+            }
+            if !has_heard || waited >= limit {
+                return Err(Report::new(TransportError::Timeout));
+            }
+        }
     }
 
     /// Sends a request that isn't answered.
@@ -380,78 +390,6 @@
             body,
         }
     }
-
-    fn check_lost<T, E>(
-        &self,
-        host: &str,
-        connection: &Connection,
-        opened: Result<T, E>,
-    ) -> Result<T, Report<TransportError>>
-    where
-        E: std::error::Error + Send + Sync + 'static,
-    {
-        if opened.is_err() {
-            self.drop_connection(host, connection);
-        }
-        opened.change_context(TransportError::Connect)
-    }
-
-    async fn connection(&self, host: &str) -> Result<Connection, Report<TransportError>> {
-        let known = self.connections().get(host).cloned();
-        if let Some(connection) = known {
-            if connection.close_reason().is_none() {
-                return Ok(connection);
-            }
-            self.drop_connection(host, &connection);
-        }
-        let known = self.inner.addresses.get(host).copied();
-        let Some(address) = known.or_else(|| host.parse().ok()) else {
-            return Err(Report::new(TransportError::UnknownHost));
-        };
-        let name = host.rsplit_once(':').map_or(host, |(ip, _)| ip);
-        let connecting = self
-            .inner
-            .quic
-            .connect(address, name)
-            .change_context(TransportError::Connect)?;
-        // Also where the caller gives up first, which drops this future.
-        let attempt = Attempt(&self.inner.failed);
-        let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .change_context(TransportError::Connect)?
-            .change_context(TransportError::Connect)?;
-        std::mem::forget(attempt);
-        self.inner.opened.fetch_add(1, Ordering::Relaxed);
-        self.connections()
-            .insert(host.to_string(), connection.clone());
-        Ok(connection)
-    }
-
-    fn connections(&self) -> MutexGuard<'_, BTreeMap<String, Connection>> {
-        match self.inner.connections.lock() {
-            Ok(connections) => connections,
-            Err(poisoned) => poisoned.into_inner(),
-        }
-    }
-
-    fn drop_connection(&self, host: &str, connection: &Connection) {
-        let mut connections = self.connections();
-        let same = connections
-            .get(host)
-            .is_some_and(|c| c.stable_id() == connection.stable_id());
-        if same {
-            connections.remove(host);
-        }
-    }
-}
-
-/// Counts a connection as given up when it is dropped.
-struct Attempt<'a>(&'a AtomicU64);
-
-impl Drop for Attempt<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
-    }
 }
 
 /// Returns a configuration whose stateless resets stay valid over restarts, so that peers of a
--- /dev/null
+++ b/src/transport/dial.rs
@@ -0,0 +1,181 @@
+//! Connections to other hosts: opened once however many want them, given up only when they are silent.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::sync::MutexGuard;
+
+use error_stack::{Report, ResultExt};
+use quinn::Connection;
+use tokio::sync::watch;
+
+use crate::lock::lock;
+
+use super::{Endpoint, TransportError, CONNECT_TIMEOUT};
+
+/// A connection to a host, or the attempt to open one, which all that want it wait for.
+pub(super) type Dial = watch::Receiver<Dialling>;
+
+#[derive(Clone, Debug)]
+pub(super) enum Dialling {
+    Pending,
+    Open(Connection),
+    Failed(TransportError),
+}
+
+impl Dialling {
+    fn is_usable(&self) -> bool {
+        match self {
+            Dialling::Pending => true,
+            Dialling::Open(connection) => connection.close_reason().is_none(),
+            Dialling::Failed(_) => false,
+        }
+    }
+}
+
+/// Connections that a process opened to others, since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dialled {
+    /// Opened.
+    pub opened: u64,
+    /// Given up while they were being opened.
+    pub failed: u64,
+}
+
+impl Endpoint {
+    /// Returns how many connections were opened to others.
+    pub fn dialled(&self) -> Dialled {
+        Dialled {
+            opened: self.inner.opened.load(Ordering::Relaxed),
+            failed: self.inner.failed.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Begins to count what arrives from a host.
+    pub fn watch(&self, host: &str) -> Watch {
+        let mut watch = Watch {
+            connection: self.open_connection(host),
+            datagrams: 0,
+        };
+        watch.has_heard();
+        watch
+    }
+
+    /// Gives up the connection of a watch on which nothing arrived.
+    pub fn drop_silent(&self, host: &str, mut watch: Watch) {
+        if watch.has_heard() {
+            return;
+        }
+        if let Some(connection) = &watch.connection {
+            self.drop_connection(host, connection);
+        }
+    }
+
+    pub(super) fn check_lost<T, E>(
+        &self,
+        host: &str,
+        connection: &Connection,
+        opened: Result<T, E>,
+    ) -> Result<T, Report<TransportError>>
+    where
+        E: std::error::Error + Send + Sync + 'static,
+    {
+        if opened.is_err() {
+            self.drop_connection(host, connection);
+        }
+        opened.change_context(TransportError::Connect)
+    }
+
+    pub(super) async fn connection(
+        &self,
+        host: &str,
+    ) -> Result<Connection, Report<TransportError>> {
+        let mut dial = self.dial(host)?;
+        let dialled = dial.wait_for(|d| !matches!(d, Dialling::Pending)).await;
+        match dialled.as_deref() {
+            Ok(Dialling::Open(connection)) => Ok(connection.clone()),
+            Ok(Dialling::Failed(e)) => Err(Report::new(*e)),
+            Ok(Dialling::Pending) | Err(_) => Err(Report::new(TransportError::Connect)),
+        }
+    }
+
+    /// Returns the connection to a host, or begins to open one. However many want it, and whoever of
+    /// them gives up, there is one attempt at a time.
+    fn dial(&self, host: &str) -> Result<Dial, Report<TransportError>> {
+        let mut connections = self.connections();
+        if let Some(dial) = connections.get(host) {
+            if dial.borrow().is_usable() {
+                return Ok(dial.clone());
+            }
+        }
+        let known = self.inner.addresses.get(host).copied();
+        let Some(address) = known.or_else(|| host.parse().ok()) else {
+            return Err(Report::new(TransportError::UnknownHost));
+        };
+        let name = host.rsplit_once(':').map_or(host, |(ip, _)| ip);
+        let connecting = self
+            .inner
+            .quic
+            .connect(address, name)
+            .change_context(TransportError::Connect)?;
+        let (tx, dial) = watch::channel(Dialling::Pending);
+        connections.insert(host.to_string(), dial.clone());
+        let inner = self.inner.clone();
+        tokio::spawn(async move {
+            let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+            let dialled = match connected {
+                Ok(Ok(connection)) => {
+                    inner.opened.fetch_add(1, Ordering::Relaxed);
+                    Dialling::Open(connection)
+                }
+                // Whoever waits for it logs the failure with what it was for.
+                Ok(Err(_)) | Err(_) => {
+                    inner.failed.fetch_add(1, Ordering::Relaxed);
+                    Dialling::Failed(TransportError::Connect)
+                }
+            };
+            tx.send_replace(dialled);
+        });
+        Ok(dial)
+    }
+
+    fn connections(&self) -> MutexGuard<'_, BTreeMap<String, Dial>> {
+        lock(&self.inner.connections)
+    }
+
+    /// Returns the open connection to a host.
+    pub(super) fn open_connection(&self, host: &str) -> Option<Connection> {
+        let connections = self.connections();
+        let dialling = connections.get(host)?.borrow().clone();
+        match dialling {
+            Dialling::Open(connection) => Some(connection),
+            _ => None,
+        }
+    }
+
+    pub(super) fn drop_connection(&self, host: &str, connection: &Connection) {
+        let is_same = self
+            .open_connection(host)
+            .is_some_and(|c| c.stable_id() == connection.stable_id());
+        if is_same {
+            self.connections().remove(host);
+        }
+    }
+}
+
+/// Counts what arrives on a connection, to tell a slow process from a silent one.
+#[derive(Debug)]
+pub struct Watch {
+    pub(super) connection: Option<Connection>,
+    datagrams: u64,
+}
+
+impl Watch {
+    /// Tells whether anything arrived since the last call, or since the watch began.
+    pub fn has_heard(&mut self) -> bool {
+        let Some(connection) = &self.connection else {
+            return false;
+        };
+        let datagrams = connection.stats().udp_rx.datagrams;
+        std::mem::replace(&mut self.datagrams, datagrams) < datagrams
+    }
+}
