Deny a route only by a configuration that the directory confirmed

What callers saw: 404 for a route added 2.5 s before (CONFIG), at an entry host that had no leader for 3.8 s. Cause: a host whose configuration nobody confirms can't know that a route isn't there, but said so.

An unknown path gets 503 with Retry-After when the view is older than 2 s; routes that are known are served as before. Failed before: an_unknown_route_isn_t_denied_while_no_ directory_confirms_the_configuration (404).

--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -91,6 +91,10 @@
 
 fn rejected(reason: &str, host: &str, config: u64, around: &[&Stamped]) -> String {
     match reason {
+        "no route in an old configuration" => format!(
+            "No route of configuration {config} fits, but the directory had been out of reach for over 2 s: a \
+             newer configuration may have one."
+        ),
         "no route" => format!(
             "No route of configuration {config}, in force on this host then, fits host {host:?} and the \
              path."
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -54,6 +54,12 @@
 const OWNER_RETRY_AFTER_MS: u64 = 300;
 /// When a caller may come back to a host that has no configuration, in milliseconds.
 const START_RETRY_AFTER_MS: u64 = 500;
+/// A configuration that the directory confirmed within this long is the one in force, in milliseconds: the
+/// platform wants a new one obeyed 2.5 s after it was acknowledged, less what a request takes.
+const CERTAIN_MS: u64 = 2_000;
+/// When a caller may come back whose route isn't in a configuration older than that, in milliseconds: a
+/// leader is found and followed in about a second.
+const STALE_RETRY_AFTER_MS: u64 = 500;
 /// When a caller may come back after upstreams refused its request, in milliseconds.
 const BUSY_RETRY_AFTER_MS: u64 = 150;
 
@@ -133,7 +139,11 @@
             return reject(&parts, &facts, failure);
         };
         let Some(route) = view.route(&host, parts.uri.path()) else {
-            let failure = Failure::failed(StatusCode::NOT_FOUND, "no route");
+            let is_certain = began.since(view.confirmed_at) <= CERTAIN_MS;
+            let failure = match is_certain {
+                true => Failure::failed(StatusCode::NOT_FOUND, "no route"),
+                false => Failure::refused("no route in an old configuration", STALE_RETRY_AFTER_MS),
+            };
             return reject(&parts, &facts, failure);
         };
         let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -404,3 +404,24 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_unknown_route_isn_t_denied_while_no_directory_confirms_the_configuration() {
+    let (mut bed, _upstream) = Bed::serving(17).await;
+    let unknown = async |bed: &Bed| {
+        let answer = bed.request(get("/added/later", "u", 1_000)).await.unwrap();
+        (
+            answer.status.as_u16(),
+            answer.header("retry-after").to_string(),
+        )
+    };
+    assert_eq!(unknown(&bed).await.0, 404);
+    bed.stop_directory();
+    // By then a route may have been added and be due to be served.
+    tokio::time::sleep(IN_FORCE).await;
+    let (status, retry_after) = unknown(&bed).await;
+    assert_eq!(status, 503);
+    assert!(!retry_after.is_empty());
+    let known = bed.request(get("/read/x", "k", 1_000)).await.unwrap();
+    assert_eq!(known.status, 200);
+}
