Send entry hosts the routes that changed, not the whole configuration

Cause: each change of one route was sent whole to every entry host, 120 to 1,400 routes; on a link of 5 Mbit/s that carries downloads, a storm of changes every 80 ms is a third of the link, and a host that didn't get the answer in time was sent the same again.

The state notes which configuration last changed each route; an update names the routes that changed and those that are gone since the follower's configuration, or all of them where it has none. Entry hosts also look upstreams up by id when they forget connections (before, each change compared all upstreams with all). Failed before: one_added_route_among_many_is_sent_alone (1,401 routes); followers_of_any_age_get_the_ configuration_in_force checks 40 seeded histories.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -1,12 +1,19 @@
 //! What processes ask of the directory's leader.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use serde::{Deserialize, Serialize};
 
 use crate::raft::ReplicaId;
 
-use super::model::{Incarnation, Key, KeyRange, RouteConfig, Upstream};
+use super::model::{
+    CallerLimits, Incarnation, Key, KeyRange, Route, RouteConfig, Service, Upstream,
+};
 use super::state::{StoredConfig, Versions};
 
+/// Routes, upstreams and ranges, of some 60 to 150 bytes each, that take as much as an update itself.
+const PARTS_PER_WEIGHT: u64 = 32;
+
 /// Requests that an entry host has seen, by key of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyCounts {
@@ -58,13 +65,73 @@
     },
 }
 
+/// A new configuration, as far as it differs from an older one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigUpdate {
+    /// The new number.
+    pub version: u64,
+    /// The configuration that `routes` and `removed` change; `None` when `routes` names all that there are.
+    pub base: Option<u64>,
+    /// Routes that are new or different.
+    pub routes: Vec<Route>,
+    /// Host and prefix of the routes that are gone.
+    pub removed: Vec<(String, String)>,
+    /// All services by name.
+    pub services: BTreeMap<String, Service>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+impl ConfigUpdate {
+    /// Returns the configuration after this update of `before`, or `None` where it is an update of another
+    /// one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::directory::ask::ConfigUpdate;
+    /// use carobreel::directory::model::RouteConfig;
+    ///
+    /// let update = ConfigUpdate {
+    ///     version: 3,
+    ///     base: Some(2),
+    ///     routes: Vec::new(),
+    ///     removed: Vec::new(),
+    ///     services: Default::default(),
+    ///     limits: Default::default(),
+    /// };
+    /// let second = RouteConfig { version: 2, ..RouteConfig::default() };
+    /// assert_eq!(update.applied_to(&second).map(|c| c.version), Some(3));
+    /// assert_eq!(update.applied_to(&RouteConfig::default()), None);
+    /// ```
+    pub fn applied_to(&self, before: &RouteConfig) -> Option<RouteConfig> {
+        let mut routes = self.routes.clone();
+        if let Some(base) = self.base {
+            if base != before.version {
+                return None;
+            }
+            let place = |r: &Route| (r.host.clone(), r.prefix.clone());
+            let changed: BTreeSet<_> = self.routes.iter().map(place).collect();
+            let removed: BTreeSet<_> = self.removed.iter().cloned().collect();
+            let stays = |r: &&Route| !changed.contains(&place(r)) && !removed.contains(&place(r));
+            routes.extend(before.routes.iter().filter(stays).cloned());
+        }
+        Some(RouteConfig {
+            version: self.version,
+            routes,
+            services: self.services.clone(),
+            limits: self.limits,
+        })
+    }
+}
+
 /// What changed in the directory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// Versions of all parts.
     pub versions: Versions,
     /// The configuration, when it changed.
-    pub config: Option<RouteConfig>,
+    pub config: Option<ConfigUpdate>,
     /// Upstreams that changed.
     pub upstreams: Vec<Upstream>,
     /// Whether `upstreams` names all that there are.
@@ -77,6 +144,16 @@
     pub entry_hosts: u32,
 }
 
+impl Update {
+    /// Returns about how much an update takes to send, against one without news.
+    pub fn weight(&self) -> u64 {
+        let routes = self.config.as_ref().map_or(0, |c| c.routes.len());
+        let owners = self.owners.iter().map(|(_, ranges)| ranges.len());
+        let parts = routes + self.upstreams.len() + owners.sum::<usize>();
+        1 + parts as u64 / PARTS_PER_WEIGHT
+    }
+}
+
 /// The leader's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ask::Update;
-use super::model::{Incarnation, Key, KeyRange, KeyTable, Phase, RouteConfig, Upstream};
+use super::ask::{ConfigUpdate, Update};
+use super::model::{Incarnation, Key, KeyRange, KeyTable, Phase, Route, RouteConfig, Upstream};
 
 /// A configuration with the text it was read from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,69 @@
     pub source: Vec<u8>,
 }
 
+/// Routes that are gone and of which followers are told one by one. Those that lack more are sent the whole
+/// configuration.
+const REMOVED_MAX: usize = 1_024;
+
+/// Which configuration last changed each route, by host and prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct RouteChanges {
+    changed: BTreeMap<(String, String), u64>,
+    removed: BTreeMap<(String, String), u64>,
+    /// Followers with an older configuration than this lack removed routes that aren't listed any longer.
+    complete_from: u64,
+}
+
+impl RouteChanges {
+    /// Notes what `next` changes.
+    fn note(&mut self, before: Option<&RouteConfig>, next: &RouteConfig) {
+        let place = |r: &Route| (r.host.clone(), r.prefix.clone());
+        let none = Vec::new();
+        let routes = before.map_or(&none, |b| &b.routes);
+        let mut old: BTreeMap<_, &Route> = routes.iter().map(|r| (place(r), r)).collect();
+        for route in &next.routes {
+            let place = place(route);
+            if old.remove(&place) != Some(route) {
+                self.removed.remove(&place);
+                self.changed.insert(place, next.version);
+            }
+        }
+        for place in old.into_keys() {
+            self.changed.remove(&place);
+            self.removed.insert(place, next.version);
+        }
+        while self.removed.len() > REMOVED_MAX {
+            let Some(oldest) = self.removed.values().min().copied() else {
+                break;
+            };
+            self.removed.retain(|_, version| *version > oldest);
+            self.complete_from = self.complete_from.max(oldest);
+        }
+    }
+
+    /// Returns what changed since configuration `have`.
+    fn since(&self, have: u64, config: &RouteConfig) -> ConfigUpdate {
+        let is_whole = have == 0 || have < self.complete_from || have > config.version;
+        let place = |r: &Route| (r.host.clone(), r.prefix.clone());
+        let is_new = |r: &&Route| {
+            let changed = self.changed.get(&place(r)).copied().unwrap_or(0);
+            is_whole || changed > have
+        };
+        let removed = self
+            .removed
+            .iter()
+            .filter(|(_, version)| !is_whole && **version > have);
+        ConfigUpdate {
+            version: config.version,
+            base: (!is_whole).then_some(have),
+            routes: config.routes.iter().filter(is_new).cloned().collect(),
+            removed: removed.map(|(place, _)| place.clone()).collect(),
+            services: config.services.clone(),
+            limits: config.limits,
+        }
+    }
+}
+
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -58,6 +121,7 @@
 pub struct State {
     /// The configuration in force.
     pub config: Option<StoredConfig>,
+    route_changes: RouteChanges,
     /// Every upstream that is known, by id.
     pub upstreams: BTreeMap<String, Upstream>,
     /// When each upstream last changed, by id.
@@ -129,7 +193,9 @@
         }
         Update {
             versions,
-            config: config.filter(|_| have.config != versions.config).cloned(),
+            config: config
+                .filter(|_| have.config != versions.config)
+                .map(|config| self.route_changes.since(have.config, config)),
             upstreams,
             whole,
             owners,
@@ -162,6 +228,8 @@
         if version <= self.versions.config {
             return;
         }
+        let before = self.config.as_ref().map(|c| &c.config);
+        self.route_changes.note(before, &stored.config);
         self.versions.config = version;
         self.config = Some(stored);
     }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -241,6 +241,6 @@
     /// Drops the peers that `view` doesn't name any more.
     pub fn retain(&self, view: &View) {
         let mut by_id = lock(&self.by_id);
-        by_id.retain(|id, _| view.upstreams().any(|u| u.incarnation.id == *id));
+        by_id.retain(|id, _| view.has_upstream(id));
     }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -37,12 +37,12 @@
     /// Returns the view after an update. A configuration older than the one in force is left out.
     pub fn updated(&self, update: Update, now: Mono) -> View {
         let mut next = self.clone();
-        if let Some(config) = update.config {
-            if config.version > self.versions.config {
-                next.versions.config = config.version;
-                next.by_host = Arc::new(index(&config));
-                next.config = Arc::new(config);
-            }
+        let config = update.config.as_ref();
+        let newer = config.filter(|c| c.version > self.versions.config);
+        if let Some(config) = newer.and_then(|c| c.applied_to(&self.config)) {
+            next.versions.config = config.version;
+            next.by_host = Arc::new(index(&config));
+            next.config = Arc::new(config);
         }
         if !update.upstreams.is_empty() || update.whole {
             let mut by_id = if update.whole {
@@ -105,9 +105,9 @@
         self.ready.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns all upstreams.
-    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
-        self.upstreams.values()
+    /// Tells whether an upstream of that id is known.
+    pub fn has_upstream(&self, id: &str) -> bool {
+        self.upstreams.contains_key(id)
     }
 
     /// Returns the owner of a key with its fencing token, if the owner is known and takes work.
--- /dev/null
+++ b/tests/updates.rs
@@ -0,0 +1,96 @@
+//! What followers of the directory are sent: as little as changed, and always enough.
+
+use std::collections::BTreeMap;
+
+use carobreel::clock::Mono;
+use carobreel::directory::model::{Repeat, Route, RouteConfig, Target};
+use carobreel::directory::state::{Command, State, StoredConfig, Versions};
+use carobreel::gateway::view::View;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn route(n: u32, timeout_ms: u64) -> Route {
+    Route {
+        name: format!("r{n}"),
+        host: format!("h{}.example", n % 7),
+        prefix: format!("/p{n}/"),
+        repeat: Repeat::Idempotent,
+        timeout_ms,
+        objective_ms: 100,
+        priority: 0,
+        targets: vec![Target {
+            service: "maps".to_string(),
+            weight: 1,
+        }],
+        attempts_max: 2,
+    }
+}
+
+fn configure(state: &mut State, version: u64, routes: &BTreeMap<u32, u64>) {
+    let config = RouteConfig {
+        version,
+        routes: routes.iter().map(|(n, ms)| route(*n, *ms)).collect(),
+        ..RouteConfig::default()
+    };
+    let stored = StoredConfig {
+        config,
+        source: Vec::new(),
+    };
+    state.apply(version, Command::Configure(Box::new(stored)));
+}
+
+fn sorted(mut routes: Vec<Route>) -> Vec<Route> {
+    routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+    routes
+}
+
+#[test]
+fn one_added_route_among_many_is_sent_alone() {
+    let mut state = State::default();
+    let mut routes: BTreeMap<u32, u64> = (0..1_400).map(|n| (n, 500)).collect();
+    configure(&mut state, 1, &routes);
+    routes.insert(1_400, 500);
+    configure(&mut state, 2, &routes);
+    let have = Versions {
+        config: 1,
+        ..Versions::default()
+    };
+    let update = state.update_since(have);
+    assert_eq!(update.config.as_ref().unwrap().routes.len(), 1);
+    assert_eq!(update.weight(), 1);
+}
+
+#[test]
+fn followers_of_any_age_get_the_configuration_in_force() {
+    for seed in 0..40 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut state = State::default();
+        let mut routes = BTreeMap::new();
+        let mut views = vec![View::default()];
+        let mut version = 0;
+        for _ in 0..30 {
+            for _ in 0..rng.random_range(0..60) {
+                let n = rng.random_range(0..300);
+                match rng.random_range(0..3) {
+                    0 => routes.remove(&n),
+                    _ => routes.insert(n, rng.random_range(1..4)),
+                };
+            }
+            version += rng.random_range(1..4);
+            configure(&mut state, version, &routes);
+            // Some followers stay behind for long.
+            views.push(views[rng.random_range(0..views.len())].clone());
+            for view in views.iter_mut().filter(|_| rng.random_range(0..3) == 0) {
+                let update = state.update_since(view.versions);
+                *view = view.updated(update, Mono(1));
+                assert_eq!(view.versions.config, version, "seed {seed}");
+                let expected: Vec<Route> = routes.iter().map(|(n, ms)| route(*n, *ms)).collect();
+                let got = sorted(view.config.routes.clone());
+                assert_eq!(got, sorted(expected), "seed {seed}");
+                for r in &view.config.routes {
+                    assert!(view.route(&r.host, &r.prefix).is_some(), "seed {seed}");
+                }
+            }
+        }
+    }
+}
