Take what has arrived at once, and give followers what a leader can spare

What callers saw: as before, CONFIG and DRAIN on grown deployments under changes, and processes at their memory's limit.

What has arrived is taken in as one step (256 inputs at most), so that a write and a message serve all of it. Followers share 400 updates a second, longest waiting first, and larger updates count for more; a follower that asks again replaces its former request.

Tests: the directory's schedules, which now go through the same step as the process; the tests of scale pass with and without it (they charge no memory).

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -29,7 +29,7 @@
 use super::membership::{founder_id, founding};
 use super::metrics::{CallLabels, Metrics};
 use super::peers::Peers;
-use super::replica::{Output, Replica, Start, LOG_NAME};
+use super::replica::{Output, Replica, Start, Step, LOG_NAME};
 use super::serve::Server;
 use super::work::Work;
 
@@ -41,6 +41,8 @@
 const ELECTION_MS: u64 = 600;
 /// Requests that may wait for the replica's thread.
 const QUEUE_MAX: usize = 4_096;
+/// Requests, messages and results that are taken at once, before heartbeats are looked at again.
+const STEPS_MAX: usize = 256;
 /// The leader's answer is awaited this long.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
 /// A failed data folder is opened again after this long.
@@ -299,21 +301,23 @@
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut join_at = self.clock.now().plus(ELECTION_MS);
+        let mut steps = Vec::new();
         loop {
             tokio::select! {
                 _ = stopped.changed() => return Ok(()),
                 _ = tick.tick() => {}
                 input = rx.recv() => {
                     let Some(input) = input else { return Ok(()) };
-                    self.take(&mut member, input)?;
-                    // What else has arrived is taken before the clock is looked at again.
-                    while let Ok(input) = rx.try_recv() {
-                        self.take(&mut member, input)?;
+                    steps.extend(self.take(&member, input));
+                    // What else has arrived is stored and answered together with it.
+                    while steps.len() < STEPS_MAX {
+                        let Ok(input) = rx.try_recv() else { break };
+                        steps.extend(self.take(&member, input));
                     }
                 }
             }
             let now = self.clock.now();
-            let output = member.tick(now)?;
+            let output = member.advance(steps.drain(..), now)?;
             self.finish(&member, output);
             self.metrics.observe(&member, now);
             self.work.note_pass(now);
@@ -335,21 +339,21 @@
         }
     }
 
-    fn take(&mut self, member: &mut Member, input: Input) -> Result<(), Report<StorageError>> {
-        let now = self.clock.now();
-        let output = match input {
+    /// Returns what an input is to the replica, unless another one is to answer it.
+    fn take(&mut self, member: &Member, input: Input) -> Option<Step<oneshot::Sender<Reply>>> {
+        match input {
             Input::Raft(batch) => {
                 for msg in &batch.messages {
                     self.hosts.insert(msg.from, batch.host.clone());
                 }
-                member.receive(batch.messages, now)?
+                Some(Step::Messages(batch.messages))
             }
             Input::Ask(ask, origin, tx) => {
                 if !member.leads() {
                     self.forward(member, ask, origin, tx);
-                    return Ok(());
+                    return None;
                 }
-                member.ask(ask, tx, now)?
+                Some(Step::Ask(ask, tx))
             }
             Input::Called(call, result) => {
                 let labels = CallLabels {
@@ -369,11 +373,9 @@
                         result: result.name().to_string(),
                     });
                 }
-                member.finish_call(call.number, result, now)?
+                Some(Step::Called(call.number, result))
             }
-        };
-        self.finish(member, output);
-        Ok(())
+        }
     }
 
     /// Passes a request on to the leader. Another process is only told where that is.
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -21,14 +21,21 @@
 use super::describe;
 use super::lessor::{Call, CallResult, Lessor};
 use super::membership::Roster;
-use super::state::{Command, State};
+use super::state::{Command, State, Versions};
 
 /// The name of this log in events and messages.
 pub const LOG_NAME: &str = "directory";
 /// How long a follower's request waits for a change, in milliseconds.
 const FOLLOW_HOLD_MS: u64 = 200;
+/// The longest that it waits where followers are many, in milliseconds: they give up soon after.
+const FOLLOW_HOLD_MOST_MS: u64 = 1_000;
 /// The lease of a leader ends this much before a successor can be elected, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 150;
+/// What a leader sends to followers a second, against updates without news: half of a small processor
+/// share. Where more is due, all followers are told less often.
+const UPDATES_PER_S: u64 = 400;
+/// What it may send at once, after a pause.
+const UPDATES_AT_ONCE: u64 = 64;
 /// Between two looks at what is to be granted, in milliseconds.
 const LEND_EVERY_MS: u64 = 40;
 /// An entry host that hasn't asked for this long isn't counted, in milliseconds.
@@ -63,6 +70,17 @@
     }
 }
 
+/// Something that a replica takes in.
+#[derive(Debug)]
+pub enum Step<T> {
+    /// Messages from other replicas.
+    Messages(Vec<Message>),
+    /// A request; the token comes back with the answer.
+    Ask(Ask, T),
+    /// The result of the call of that number to an upstream.
+    Called(u64, CallResult),
+}
+
 #[derive(Debug)]
 struct Waiting<T> {
     ask: Ask,
@@ -82,6 +100,9 @@
     rounds: VecDeque<(u64, Mono)>,
     lease_until: Mono,
     followers: BTreeMap<String, Mono>,
+    /// What may be sent to followers now, in thousandths of an update without news.
+    allowance: u64,
+    answered_at: Mono,
     heard: BTreeMap<String, Mono>,
     roster: Roster,
 }
@@ -178,45 +199,28 @@
         Some(host.clone())
     }
 
-    /// Lets time pass.
-    pub fn tick(&mut self, now: Mono) -> Result<Output<T>, Report<StorageError>> {
-        self.raft.tick(now);
-        self.settle(now)
-    }
-
-    /// Takes messages from other replicas.
-    pub fn receive(
-        &mut self,
-        messages: Vec<Message>,
-        now: Mono,
-    ) -> Result<Output<T>, Report<StorageError>> {
-        for msg in messages {
-            self.raft.receive(msg, now);
-        }
-        self.settle(now)
-    }
-
-    /// Takes a request; the token comes back with the answer.
-    pub fn ask(
+    /// Takes what has arrived and lets time pass. However much it is, it is stored and answered at once.
+    pub fn advance(
         &mut self,
-        ask: Ask,
-        token: T,
+        steps: impl IntoIterator<Item = Step<T>>,
         now: Mono,
     ) -> Result<Output<T>, Report<StorageError>> {
-        self.take(ask, token, now);
-        self.settle(now)
-    }
-
-    /// Takes the result of a call to an upstream.
-    pub fn finish_call(
-        &mut self,
-        number: u64,
-        result: CallResult,
-        now: Mono,
-    ) -> Result<Output<T>, Report<StorageError>> {
-        if let Some(lead) = &mut self.lead {
-            lead.lessor.finish(number, result, now);
+        for step in steps {
+            match step {
+                Step::Messages(messages) => {
+                    for msg in messages {
+                        self.raft.receive(msg, now);
+                    }
+                }
+                Step::Ask(ask, token) => self.take(ask, token, now),
+                Step::Called(number, result) => {
+                    if let Some(lead) = &mut self.lead {
+                        lead.lessor.finish(number, result, now);
+                    }
+                }
+            }
         }
+        self.raft.tick(now);
         self.settle(now)
     }
 
@@ -266,13 +270,25 @@
                 ..
             } => {
                 lead.followers.insert(host.clone(), now);
+                // One that asks again has given up its former request.
+                let is_former =
+                    |w: &Waiting<T>| matches!(&w.ask, Ask::Follow { host: h, .. } if h == host);
+                if let Some(n) = lead.waiting.iter().position(is_former) {
+                    if let Some(former) = lead.waiting.remove(n) {
+                        self.output
+                            .replies
+                            .push((former.token, Reply::NotLeader(None)));
+                    }
+                }
                 for report in counts {
                     lead.lessor.report(&report.service, &report.counts);
                 }
                 for speed in speeds {
                     lead.lessor.report_speed(speed);
                 }
-                answer_at = now.plus(FOLLOW_HOLD_MS);
+                // Answers without news take half of what may be sent at most.
+                let even_ms = lead.followers.len() as u64 * 2_000 / UPDATES_PER_S;
+                answer_at = now.plus(even_ms.clamp(FOLLOW_HOLD_MS, FOLLOW_HOLD_MOST_MS));
             }
         }
         let round = self.raft.current_round().unwrap_or(0) + 1;
@@ -398,6 +414,8 @@
             rounds: VecDeque::new(),
             lease_until: Mono(0),
             followers: BTreeMap::new(),
+            allowance: 0,
+            answered_at: elected_at,
             heard: heard.map(|id| (id.clone(), elected_at)).collect(),
             roster: Roster::new(self.voters),
         });
--- a/src/directory/replica/lead.rs
+++ b/src/directory/replica/lead.rs
@@ -79,10 +79,16 @@
         lead.followers
             .retain(|_, at| now.since(*at) < FOLLOWER_GONE_MS);
         let is_sure = now < lead.lease_until;
+        let earned = now.since(lead.answered_at) * UPDATES_PER_S;
+        lead.allowance = (lead.allowance + earned).min(UPDATES_AT_ONCE * 1_000);
+        lead.answered_at = now;
+        // Followers mostly have the same; the longest waiting one comes first.
+        let mut made: Option<(Versions, Update)> = None;
         for w in std::mem::take(&mut lead.waiting) {
             let due = match &w.ask {
                 Ask::Follow { have, .. } => {
-                    is_sure && (*have != self.state.versions || now >= w.answer_at)
+                    let is_news = *have != self.state.versions || now >= w.answer_at;
+                    is_sure && is_news && lead.allowance >= 1_000
                 }
                 _ => w.round <= confirmed,
             };
@@ -92,12 +98,18 @@
             }
             let reply = match &w.ask {
                 Ask::Follow { have, .. } => {
-                    let replicas = self.raft.membership().replicas();
-                    Reply::Update(Box::new(Update {
-                        replicas: replicas.map(|(_, host)| host.clone()).collect(),
-                        entry_hosts: lead.followers.len() as u32,
-                        ..self.state.update_since(*have)
-                    }))
+                    let update = match made.take() {
+                        Some((of, update)) if of == *have => update,
+                        _ => Update {
+                            replicas: self.raft.membership().hosts(),
+                            entry_hosts: lead.followers.len() as u32,
+                            ..self.state.update_since(*have)
+                        },
+                    };
+                    let cost = update.weight() * 1_000;
+                    lead.allowance = lead.allowance.saturating_sub(cost);
+                    made = Some((*have, update.clone()));
+                    Reply::Update(Box::new(update))
                 }
                 _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
             };
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Body, Entry, Leadership, Payload, Progress, Raft, ReplicaId, Role, APPEND_BYTES_MAX,
-    APPEND_ENTRIES_MAX,
+    APPEND_ENTRIES_MAX, IN_FLIGHT_ENTRIES_MAX, SNAPSHOT_ROUNDS,
 };
 
 impl Raft {
@@ -60,6 +60,7 @@
                 next,
                 round: 0,
                 heard_at: now,
+                snapshot_round: None,
             });
         }
     }
@@ -78,15 +79,30 @@
         let Some(progress) = lead.progress.get_mut(&to) else {
             return;
         };
-        let prev_index = progress.next.saturating_sub(1);
-        let Some(prev_term) = self.log.term_at(prev_index) else {
-            let snapshot = self.log.snapshot().clone();
-            self.send(to, Body::Snapshot { snapshot, round });
+        let mut prev_index = progress.next.saturating_sub(1);
+        let mut prev_term = self.log.term_at(prev_index);
+        if prev_term.is_none() {
+            let is_due = |sent: u64| round >= sent + SNAPSHOT_ROUNDS;
+            if progress.snapshot_round.is_none_or(is_due) {
+                progress.snapshot_round = Some(round);
+                let snapshot = self.log.snapshot().clone();
+                self.send(to, Body::Snapshot { snapshot, round });
+                return;
+            }
+            // The heartbeat goes on while the snapshot is under way.
+            prev_index = self.log.snapshot().index;
+            prev_term = self.log.term_at(prev_index);
+        }
+        let Some(prev_term) = prev_term else {
             return;
         };
-        let entries = self
-            .log
-            .batch(progress.next, APPEND_ENTRIES_MAX, APPEND_BYTES_MAX);
+        let in_flight = prev_index.saturating_sub(progress.matched);
+        let room = match progress.snapshot_round {
+            Some(_) => 0,
+            None => IN_FLIGHT_ENTRIES_MAX.saturating_sub(in_flight) as usize,
+        };
+        let most = APPEND_ENTRIES_MAX.min(room);
+        let entries = self.log.batch(progress.next, most, APPEND_BYTES_MAX);
         progress.next += entries.len() as u64;
         let body = Body::Append {
             prev_index,
@@ -117,6 +133,7 @@
         progress.round = progress.round.max(round);
         if matched {
             progress.matched = progress.matched.max(index);
+            progress.snapshot_round = None;
             progress.next = progress.next.max(progress.matched + 1);
         } else {
             progress.next = index.max(progress.matched) + 1;
@@ -124,7 +141,8 @@
         // A refusal below what is known to match is an old one, or comes from a replica that lost
         // its log; answering it at once could go on for ever.
         let credible = matched || index >= progress.matched;
-        let behind = credible && progress.next <= last;
+        let awaits_snapshot = progress.snapshot_round.is_some();
+        let behind = credible && progress.next <= last && !awaits_snapshot;
         self.advance_round();
         self.advance_commit();
         if behind {
--- a/src/raft/message.rs
+++ b/src/raft/message.rs
@@ -42,6 +42,11 @@
             .map(|(id, host)| (*id, host))
     }
 
+    /// Returns the hosts of all replicas.
+    pub fn hosts(&self) -> Vec<String> {
+        self.replicas().map(|(_, host)| host.clone()).collect()
+    }
+
     /// Returns the number of voters in which two memberships differ.
     pub fn voter_distance(&self, other: &Membership) -> usize {
         let left = self
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -26,6 +26,12 @@
 /// that is behind doesn't fill a narrow link between two heartbeats.
 const APPEND_BYTES_MAX: usize = 128 << 10;
 
+/// Entries that may be on their way to a replica before it confirms any: a slow one isn't sent more than it
+/// can take in.
+const IN_FLIGHT_ENTRIES_MAX: u64 = 256;
+/// A snapshot that a replica hasn't confirmed is sent again after this many heartbeat rounds.
+const SNAPSHOT_ROUNDS: u64 = 10;
+
 /// After a restart, elections are spread over this part of the usual time: several times what a vote
 /// takes within a region.
 const RESTART_SPREAD: u64 = 4;
@@ -57,6 +63,8 @@
     next: u64,
     round: u64,
     heard_at: Mono,
+    /// The round in which a snapshot was sent that isn't confirmed yet.
+    snapshot_round: Option<u64>,
 }
 
 /// What a leader keeps for its term.
@@ -115,6 +123,8 @@
     changed_from: Option<u64>,
     received: Option<Snapshot>,
     outbox: Vec<Message>,
+    /// Whether entries were proposed that no message carries yet.
+    unsent: bool,
 }
 
 impl Raft {
@@ -149,6 +159,7 @@
             changed_from: None,
             received: None,
             outbox: Vec::new(),
+            unsent: false,
         };
         raft.reset_election(now);
         raft
@@ -289,7 +300,7 @@
             );
         }
         let index = self.append(payload, now);
-        self.broadcast();
+        self.unsent = true;
         self.advance_commit();
         Ok(index)
     }
@@ -351,11 +362,16 @@
             || self.hard != self.stored
             || self.changed_from.is_some()
             || !self.outbox.is_empty()
+            || self.unsent
             || self.commit > self.applied
     }
 
-    /// Returns what the steps since the last call ask for.
+    /// Returns what the steps since the last call ask for. What was proposed since then goes to each
+    /// replica in one message.
     pub fn take_ready(&mut self) -> Ready {
+        if std::mem::take(&mut self.unsent) {
+            self.broadcast();
+        }
         let hard = (self.hard != self.stored).then_some(self.hard);
         self.stored = self.hard;
         let entries = match self.changed_from.take() {
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -17,10 +17,9 @@
 use carobreel::directory::lessor::{Call, CallResult};
 use carobreel::directory::membership::{founder_id, founding};
 use carobreel::directory::model::Key;
-use carobreel::directory::replica::{Output, Replica, Start};
+use carobreel::directory::replica::{Replica, Start, Step};
 use carobreel::raft::{Log, Message, ReplicaId, Timing};
-use carobreel::storage::{Identity, Recovered, StorageError};
-use error_stack::Report;
+use carobreel::storage::{Identity, Recovered};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -336,16 +335,16 @@
                 if self.nodes[n].member.is_none() {
                     return;
                 }
-                self.step(n, |m, now| m.tick(now));
+                self.step(n, None);
                 let pause = TICK_MS + self.drag(n);
                 self.push(pause, Event::Tick(n));
             }
-            Event::Deliver(n, messages) => self.step(n, |m, now| m.receive(messages, now)),
+            Event::Deliver(n, messages) => self.step(n, Some(Step::Messages(messages))),
             Event::Ask(n, ask, token) => self.ask(n, ask, token),
             Event::Called(n, life, number, result) => {
                 self.calls_open -= 1;
                 if self.lives[n] == life {
-                    self.step(n, |m, now| m.finish_call(number, result, now));
+                    self.step(n, Some(Step::Called(number, result)));
                 }
             }
             Event::CallArrives(n, call, is_late) => self.call_arrives(n, call, is_late),
@@ -378,21 +377,17 @@
                     }
                 }
             }
-            _ => self.step(n, |m, now| m.ask(ask, token, now)),
+            _ => self.step(n, Some(Step::Ask(ask, token))),
         }
     }
 
-    fn step(
-        &mut self,
-        n: usize,
-        f: impl FnOnce(&mut Member, Mono) -> Result<Output<u64>, Report<StorageError>>,
-    ) {
+    fn step(&mut self, n: usize, step: Option<Step<u64>>) {
         let now = Mono(self.now);
         let Some(member) = &mut self.nodes[n].member else {
             return;
         };
         let led = member.leads();
-        let Ok(output) = f(member, now) else {
+        let Ok(output) = member.advance(step, now) else {
             self.reopen(n);
             return;
         };
