Acknowledge a leaving upstream once entry hosts know; let followers take heartbeats

What callers saw: DRAIN on grown deployments, requests that reached an upstream over 2.5 s after its word that it leaves was acknowledged. Cause: the word was acknowledged when it was in the log, whatever entry hosts knew; a busy leader told them too late. Now the answer waits until every entry host that follows has asked for changes beyond that entry, 700 ms at most (an upstream asks another replica after a second).

Beside it, work that grows with upstreams leaves the leader: a follower that heard of the leader within 300 ms acknowledges an announcement that changes nothing, and tells the leader every 200 ms of whom it heard.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -39,6 +39,8 @@
 pub enum Ask {
     /// An upstream announces itself.
     Announce(Upstream),
+    /// Upstreams that announced themselves to a follower, which acknowledged it.
+    Heard(Vec<Incarnation>),
     /// An upstream leaves.
     Leave(Incarnation),
     /// An operator hands in a configuration.
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -1,7 +1,7 @@
 //! The directory on one host with a disk: a replica on a thread of its own, its messages, and the
 //! calls to upstreams that it asks for while it leads.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -28,6 +28,7 @@
 use super::lessor::{Call, CallResult};
 use super::membership::{founder_id, founding};
 use super::metrics::{CallLabels, Metrics};
+use super::model::Incarnation;
 use super::peers::Peers;
 use super::replica::{Output, Replica, Start, Step, LOG_NAME};
 use super::serve::Server;
@@ -41,6 +42,9 @@
 const ELECTION_MS: u64 = 600;
 /// Requests that may wait for the replica's thread.
 const QUEUE_MAX: usize = 4_096;
+/// A follower tells the leader this often which upstreams it heard of, in milliseconds: a tenth of the time
+/// after which one counts as silent.
+const HEARD_EVERY_MS: u64 = 200;
 /// Requests, messages and results that are taken at once, before heartbeats are looked at again.
 const STEPS_MAX: usize = 256;
 /// The leader's answer is awaited this long.
@@ -152,6 +156,7 @@
                     metrics: shown,
                     work: Work::default(),
                     hosts: BTreeMap::new(),
+                    heard: BTreeSet::new(),
                 };
                 host.run(rx, stopped).await;
             });
@@ -202,6 +207,8 @@
     work: Work,
     /// Where replicas write from; one that was just taken in knows no membership yet.
     hosts: BTreeMap<ReplicaId, String>,
+    /// Upstreams that were heard of here, and of which the leader wasn't told yet.
+    heard: BTreeSet<Incarnation>,
 }
 
 impl<C: KeyCalls> Host<C> {
@@ -301,6 +308,7 @@
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut join_at = self.clock.now().plus(ELECTION_MS);
+        let mut heard_at = join_at;
         let mut steps = Vec::new();
         loop {
             tokio::select! {
@@ -308,11 +316,11 @@
                 _ = tick.tick() => {}
                 input = rx.recv() => {
                     let Some(input) = input else { return Ok(()) };
-                    steps.extend(self.take(&member, input));
+                    steps.extend(self.take(&member, input, self.clock.now()));
                     // What else has arrived is stored and answered together with it.
                     while steps.len() < STEPS_MAX {
                         let Ok(input) = rx.try_recv() else { break };
-                        steps.extend(self.take(&member, input));
+                        steps.extend(self.take(&member, input, self.clock.now()));
                     }
                 }
             }
@@ -321,6 +329,10 @@
             self.finish(&member, output);
             self.metrics.observe(&member, now);
             self.work.note_pass(now);
+            if now >= heard_at {
+                heard_at = now.plus(HEARD_EVERY_MS);
+                self.tell_heard(&member);
+            }
             let unlogged = self.work.unlogged(now);
             let summary = self.work.summary(&member, &self.endpoint, now);
             for event in unlogged.into_iter().chain(summary) {
@@ -340,7 +352,12 @@
     }
 
     /// Returns what an input is to the replica, unless another one is to answer it.
-    fn take(&mut self, member: &Member, input: Input) -> Option<Step<oneshot::Sender<Reply>>> {
+    fn take(
+        &mut self,
+        member: &Member,
+        input: Input,
+        now: Mono,
+    ) -> Option<Step<oneshot::Sender<Reply>>> {
         match input {
             Input::Raft(batch) => {
                 for msg in &batch.messages {
@@ -350,7 +367,13 @@
             }
             Input::Ask(ask, origin, tx) => {
                 if !member.leads() {
-                    self.forward(member, ask, origin, tx);
+                    match ask {
+                        Ask::Announce(upstream) if member.may_confirm(&upstream, now) => {
+                            self.heard.insert(upstream.incarnation);
+                            let _ = tx.send(Reply::Done);
+                        }
+                        ask => self.forward(member, ask, origin, tx),
+                    }
                     return None;
                 }
                 Some(Step::Ask(ask, tx))
@@ -403,6 +426,23 @@
         });
     }
 
+    /// Tells the leader which upstreams announced themselves here.
+    fn tell_heard(&mut self, member: &Member) {
+        let heard = std::mem::take(&mut self.heard);
+        let leader = member.leader_host();
+        let Some(leader) = leader.filter(|_| !heard.is_empty() && !member.leads()) else {
+            return;
+        };
+        let endpoint = self.endpoint.clone();
+        tokio::spawn(async move {
+            let ask = Ask::Heard(heard.into_iter().collect());
+            // Upstreams announce themselves again; a lost word of one changes nothing.
+            let _ = endpoint
+                .call(&leader, Request::Directory(ask), FORWARD_TIMEOUT)
+                .await;
+        });
+    }
+
     /// Asks the leader, or any process that may know it, to be taken into the log.
     fn ask_to_join(&self, member: &Member) {
         let own = self.settings.address.to_string();
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -21,6 +21,7 @@
 use super::describe;
 use super::lessor::{Call, CallResult, Lessor};
 use super::membership::Roster;
+use super::model::{Phase, Upstream};
 use super::state::{Command, State, Versions};
 
 /// The name of this log in events and messages.
@@ -38,6 +39,9 @@
 const UPDATES_AT_ONCE: u64 = 64;
 /// Between two looks at what is to be granted, in milliseconds.
 const LEND_EVERY_MS: u64 = 40;
+/// An upstream that leaves has its answer after this long even if an entry host doesn't know of it yet, in
+/// milliseconds: it asks another replica after a second.
+const LEAVING_ANSWER_MS: u64 = 700;
 /// An entry host that hasn't asked for this long isn't counted, in milliseconds.
 const FOLLOWER_GONE_MS: u64 = 3_000;
 /// An upstream that hasn't been heard of for this long is forgotten, in milliseconds.
@@ -89,6 +93,22 @@
     answer_at: Mono,
 }
 
+/// What a leader knows of an entry host.
+#[derive(Clone, Copy, Debug)]
+struct Follower {
+    asked_at: Mono,
+    /// The version of the upstreams that it has.
+    upstreams: u64,
+}
+
+/// An upstream's word that it leaves, which is in the log.
+#[derive(Debug)]
+struct Leaving<T> {
+    token: T,
+    index: u64,
+    answer_by: Mono,
+}
+
 #[derive(Debug)]
 struct Lead<T> {
     term: u64,
@@ -99,7 +119,9 @@
     proposals: BTreeMap<u64, (u64, T)>,
     rounds: VecDeque<(u64, Mono)>,
     lease_until: Mono,
-    followers: BTreeMap<String, Mono>,
+    followers: BTreeMap<String, Follower>,
+    /// Upstreams that leave, to be acknowledged once entry hosts know.
+    leaving: Vec<Leaving<T>>,
     /// What may be sent to followers now, in thousandths of an update without news.
     allowance: u64,
     answered_at: Mono,
@@ -129,6 +151,8 @@
     store: S,
     state: State,
     applied: u64,
+    /// The last entry that was stored before the start.
+    recovered_to: u64,
     timing: Timing,
     hold_ms: u64,
     voters: usize,
@@ -143,6 +167,7 @@
         let id = recovered.identity.replica;
         let state = decode_state(&recovered.log);
         let applied = recovered.log.snapshot().index;
+        let recovered_to = recovered.log.last_index();
         let (hard, log) = (recovered.hard, recovered.log);
         let mut raft = Raft::open(id, start.timing, hard, log, now, start.seed);
         // What this replica promised before it was restarted may hold that much longer.
@@ -152,6 +177,7 @@
             store,
             state,
             applied,
+            recovered_to,
             timing: start.timing,
             hold_ms: start.hold_ms,
             voters: start.voters,
@@ -191,6 +217,16 @@
         self.lead.as_ref().map_or(0, |l| l.lease_until.since(now))
     }
 
+    /// Tells whether a follower may acknowledge an announcement by itself: it changes nothing that was
+    /// committed, and the leader was heard of a moment ago and will be told.
+    pub fn may_confirm(&self, upstream: &Upstream, now: Mono) -> bool {
+        let heard_ms = self.raft.leader_heard_ms(now);
+        upstream.phase == Phase::Ready
+            && heard_ms.is_some_and(|ms| ms <= 3 * self.timing.heartbeat_ms)
+            && !self.state.would_change(upstream)
+            && self.state.live(&upstream.incarnation).is_some()
+    }
+
     /// Returns the leader's address, when one is known.
     pub fn leader_host(&self) -> Option<String> {
         let leader = self.raft.leader()?;
@@ -238,7 +274,15 @@
                     if self.state.live(&upstream.incarnation).is_some() {
                         lead.lessor.hear(&upstream.incarnation, now);
                     }
-                    self.output.replies.push((token, Reply::Done));
+                    if upstream.phase == Phase::Ready {
+                        self.output.replies.push((token, Reply::Done));
+                    } else {
+                        lead.leaving.push(Leaving {
+                            token,
+                            index: self.state.changed_at(&upstream.incarnation.id),
+                            answer_by: now.plus(LEAVING_ANSWER_MS),
+                        });
+                    }
                     return;
                 }
                 lead.lessor.hear(&upstream.incarnation, now);
@@ -257,6 +301,16 @@
                 let command = Command::Configure(stored.clone());
                 return self.propose(command, token, now);
             }
+            Ask::Heard(list) => {
+                for who in list {
+                    if self.state.live(who).is_some() {
+                        lead.heard.insert(who.id.clone(), now);
+                        lead.lessor.hear(who, now);
+                    }
+                }
+                self.output.replies.push((token, Reply::Done));
+                return;
+            }
             Ask::Join { host, replica } => {
                 lead.roster.ask_to_join(host.clone(), *replica, now);
                 self.output.replies.push((token, Reply::Done));
@@ -265,11 +319,15 @@
             Ask::ReadConfig => {}
             Ask::Follow {
                 host,
+                have,
                 counts,
                 speeds,
-                ..
             } => {
-                lead.followers.insert(host.clone(), now);
+                let follower = Follower {
+                    asked_at: now,
+                    upstreams: have.upstreams,
+                };
+                lead.followers.insert(host.clone(), follower);
                 // One that asks again has given up its former request.
                 let is_former =
                     |w: &Waiting<T>| matches!(&w.ask, Ask::Follow { host: h, .. } if h == host);
@@ -319,7 +377,7 @@
         loop {
             let ready = self.raft.take_ready();
             let idle = ready.committed.is_empty() && ready.entries.is_empty();
-            self.store_ready(ready)?;
+            self.store_ready(ready, now)?;
             self.follow_leadership();
             if idle {
                 self.extend_lease(now);
@@ -335,7 +393,7 @@
         Ok(std::mem::take(&mut self.output))
     }
 
-    fn store_ready(&mut self, ready: Ready) -> Result<(), Report<StorageError>> {
+    fn store_ready(&mut self, ready: Ready, now: Mono) -> Result<(), Report<StorageError>> {
         if let Some(snapshot) = &ready.snapshot {
             self.store.append(ready.hard, &[])?;
             self.store.save_snapshot(snapshot, &ready.entries)?;
@@ -350,19 +408,28 @@
         }
         self.output.messages.extend(ready.messages);
         for entry in ready.committed {
-            self.apply(entry);
+            self.apply(entry, now);
         }
         Ok(())
     }
 
-    fn apply(&mut self, entry: Entry) {
+    fn apply(&mut self, entry: Entry, now: Mono) {
         assert_eq!(entry.index, self.applied + 1, "entries apply in order");
         self.applied = entry.index;
+        let mut leaves = false;
         if let Payload::Command(bytes) = &entry.payload {
             let command: Command = postcard::from_bytes(bytes).expect("committed commands decode");
+            leaves = match &command {
+                Command::Register(upstream) => upstream.phase != Phase::Ready,
+                Command::Deregister(_) => true,
+                _ => false,
+            };
             let leads = self.lead.is_some();
-            let event = describe::event_of(&self.state, &command, leads);
-            self.output.events.extend(event);
+            // What was stored before the start was told of then.
+            if entry.index > self.recovered_to {
+                let event = describe::event_of(&self.state, &command, leads);
+                self.output.events.extend(event);
+            }
             self.state.apply(entry.index, command);
         }
         if let Payload::Membership(m) = &entry.payload {
@@ -378,12 +445,17 @@
         let Some((term, token)) = lead.proposals.remove(&entry.index) else {
             return;
         };
-        let reply = if term == entry.term {
-            Reply::Done
+        if term != entry.term {
+            self.output.replies.push((token, Reply::NotLeader(None)));
+        } else if leaves {
+            lead.leaving.push(Leaving {
+                token,
+                index: entry.index,
+                answer_by: now.plus(LEAVING_ANSWER_MS),
+            });
         } else {
-            Reply::NotLeader(None)
-        };
-        self.output.replies.push((token, reply));
+            self.output.replies.push((token, Reply::Done));
+        }
     }
 
     fn follow_leadership(&mut self) {
@@ -414,6 +486,7 @@
             rounds: VecDeque::new(),
             lease_until: Mono(0),
             followers: BTreeMap::new(),
+            leaving: Vec::new(),
             allowance: 0,
             answered_at: elected_at,
             heard: heard.map(|id| (id.clone(), elected_at)).collect(),
@@ -427,9 +500,10 @@
             term: lead.term,
         });
         let waiting = lead.waiting.into_iter().map(|w| w.token);
+        let leaving = lead.leaving.into_iter().map(|l| l.token);
         let proposed = lead.proposals.into_values().map(|(_, token)| token);
         let leader = self.leader_host();
-        for token in waiting.chain(proposed) {
+        for token in waiting.chain(proposed).chain(leaving) {
             let reply = Reply::NotLeader(leader.clone());
             self.output.replies.push((token, reply));
         }
--- a/src/directory/replica/lead.rs
+++ b/src/directory/replica/lead.rs
@@ -77,7 +77,16 @@
             return;
         };
         lead.followers
-            .retain(|_, at| now.since(*at) < FOLLOWER_GONE_MS);
+            .retain(|_, f| now.since(f.asked_at) < FOLLOWER_GONE_MS);
+        let known_to = lead.followers.values().map(|f| f.upstreams).min();
+        for leaving in std::mem::take(&mut lead.leaving) {
+            let is_known = known_to.is_none_or(|index| index >= leaving.index);
+            if is_known || now >= leaving.answer_by {
+                self.output.replies.push((leaving.token, Reply::Done));
+            } else {
+                lead.leaving.push(leaving);
+            }
+        }
         let is_sure = now < lead.lease_until;
         let earned = now.since(lead.answered_at) * UPDATES_PER_S;
         lead.allowance = (lead.allowance + earned).min(UPDATES_AT_ONCE * 1_000);
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Returns the version of the upstreams in which one last changed, 0 when it isn't known.
+    pub fn changed_at(&self, id: &str) -> u64 {
+        self.changed.get(id).copied().unwrap_or(0)
+    }
+
     /// Returns the number of the configuration in force, 0 for none.
     pub fn config_version(&self) -> u64 {
         self.versions.config
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -183,6 +183,12 @@
         Some(now.since(lead.progress.get(&replica)?.heard_at))
     }
 
+    /// Returns how long ago a follower heard of its leader, in milliseconds.
+    pub fn leader_heard_ms(&self, now: Mono) -> Option<u64> {
+        self.leader?;
+        Some(now.since(self.leader_heard_at?))
+    }
+
     /// Returns this replica's identity.
     pub fn id(&self) -> ReplicaId {
         self.id
--- a/tests/model/entry.rs
+++ b/tests/model/entry.rs
@@ -110,6 +110,21 @@
         }
     }
 
+    /// Counts the entry hosts that would still send work to a leaving upstream when it was acknowledged.
+    pub(super) fn check_drain(&mut self, upstream: usize, is_first: bool) {
+        if !is_first {
+            return;
+        }
+        let id = &self.upstreams.list[upstream].incarnation.id;
+        let uses = |e: &&EntryHost| {
+            e.view
+                .ready(SERVICE)
+                .iter()
+                .any(|u| u.incarnation.id == *id)
+        };
+        self.uninformed += self.entries.iter().filter(uses).count();
+    }
+
     /// Draws the requests that an entry host has seen since its last report.
     fn draw_requests(&mut self, n: usize) -> Vec<(Key, u32)> {
         let since = self.now - std::mem::replace(&mut self.entries[n].reported_at, self.now);
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -16,7 +16,7 @@
 use carobreel::directory::ask::{Ask, Reply, UpstreamSpeed};
 use carobreel::directory::lessor::{Call, CallResult};
 use carobreel::directory::membership::{founder_id, founding};
-use carobreel::directory::model::Key;
+use carobreel::directory::model::{Incarnation, Key};
 use carobreel::directory::replica::{Replica, Start, Step};
 use carobreel::raft::{Log, Message, ReplicaId, Timing};
 use carobreel::storage::{Identity, Recovered};
@@ -55,6 +55,8 @@
     backlog: VecDeque<Event>,
     /// When the processor is free again, in microseconds.
     busy_until_us: u64,
+    /// Upstreams of which the leader wasn't told yet.
+    heard: Vec<Incarnation>,
 }
 
 impl Node {
@@ -69,6 +71,7 @@
             slow_until: 0,
             backlog: VecDeque::new(),
             busy_until_us: 0,
+            heard: Vec::new(),
         }
     }
 }
@@ -90,6 +93,8 @@
     pub load: Load,
     /// Configurations that an entry host didn't have in time, with how many.
     pub late: Vec<(u64, usize)>,
+    /// Entry hosts that didn't know of a leaving upstream when it was acknowledged.
+    pub uninformed: usize,
     /// Calls to upstreams that wait for an answer, now and at most.
     pub calls_open: usize,
     pub calls_open_most: usize,
@@ -125,6 +130,7 @@
             reopened: 0,
             load,
             late: Vec::new(),
+            uninformed: 0,
             calls_open: 0,
             calls_open_most: 0,
             entries: (0..load.entry_hosts)
@@ -364,6 +370,13 @@
         let Some(member) = &self.nodes[n].member else {
             return;
         };
+        if let Ask::Announce(upstream) = &ask {
+            if !member.leads() && member.may_confirm(upstream, Mono(self.now)) {
+                self.nodes[n].heard.push(upstream.incarnation.clone());
+                self.push(1, Event::Reply(token, Reply::Done));
+                return;
+            }
+        }
         let leader = member.leader_host();
         let forward = leader.and_then(|host| self.nodes.iter().position(|x| x.address == host));
         match forward {
@@ -478,6 +491,10 @@
         let is_lost = !is_member || member.raft().leader().is_none();
         let host = self.nodes[n].address.clone();
         self.push(JOIN_MS, Event::Join(n));
+        let heard = std::mem::take(&mut self.nodes[n].heard);
+        if let Some(leader) = self.leader().filter(|l| !self.cut.contains(&(n, *l))) {
+            self.question(leader, Ask::Heard(heard), Question::Other);
+        }
         if let (true, Some(leader)) = (is_lost, self.leader()) {
             if !self.cut.contains(&(n, leader)) {
                 let ask = Ask::Join { host, replica: id };
@@ -513,7 +530,8 @@
                 }
             }
             (Question::Drain(n), Reply::Done) => {
-                self.acked_drains.insert(n);
+                let is_first = self.acked_drains.insert(n);
+                self.check_drain(n, is_first);
             }
             _ => {}
         }
--- a/tests/scale/mod.rs
+++ b/tests/scale/mod.rs
@@ -128,3 +128,17 @@
     assert!(most <= CALLS_OPEN_MAX, "{most} calls open at once");
     assert_eq!(world.upstreams.held(world.now), all_keys());
 }
+
+#[test]
+fn a_leaving_upstream_is_acknowledged_once_every_entry_host_knows_of_it() {
+    for seed in 0..3 {
+        let mut world = started(seed, Some(SHARE));
+        for n in 0..20 {
+            world.drain(n * 7);
+            world.run(100);
+        }
+        world.run(3_000);
+        assert!(world.acked_drains.len() >= 18, "seed {seed}");
+        assert_eq!(world.uninformed, 0, "seed {seed}");
+    }
+}
