--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -48,7 +48,7 @@
 /// Requests, messages and results that are taken at once, before heartbeats are looked at again.
 const STEPS_MAX: usize = 256;
 /// The leader's answer is awaited this long.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
 /// A failed data folder is opened again after this long.
 const REOPEN_AFTER: Duration = Duration::from_millis(300);
 /// Between two wishes of a replica to be taken into the log.
@@ -193,11 +193,11 @@
     }
 }
 
-type Member = Replica<Storage, oneshot::Sender<Reply>>;
+pub(super) type Member = Replica<Storage, oneshot::Sender<Reply>>;
 
-struct Host<C> {
-    settings: Settings,
-    endpoint: Endpoint,
+pub(super) struct Host<C> {
+    pub(super) settings: Settings,
+    pub(super) endpoint: Endpoint,
     recorder: Recorder,
     clock: Clock,
     tx: mpsc::Sender<Input>,
@@ -208,7 +208,7 @@
     /// Where replicas write from; one that was just taken in knows no membership yet.
     hosts: BTreeMap<ReplicaId, String>,
     /// Upstreams that were heard of here, and of which the leader wasn't told yet.
-    heard: BTreeSet<Incarnation>,
+    pub(super) heard: BTreeSet<Incarnation>,
 }
 
 impl<C: KeyCalls> Host<C> {
@@ -295,7 +295,7 @@
         self.recorder.record(Event::FolderReplaced { reason });
     }
 
-    fn seeds(&self) -> Vec<SocketAddr> {
+    pub(super) fn seeds(&self) -> Vec<SocketAddr> {
         lock(&self.settings.seeds).clone()
     }
 
@@ -426,54 +426,6 @@
         });
     }
 
-    /// Tells the leader which upstreams announced themselves here.
-    fn tell_heard(&mut self, member: &Member) {
-        let heard = std::mem::take(&mut self.heard);
-        let leader = member.leader_host();
-        let Some(leader) = leader.filter(|_| !heard.is_empty() && !member.leads()) else {
-            return;
-        };
-        let endpoint = self.endpoint.clone();
-        tokio::spawn(async move {
-            let ask = Ask::Heard(heard.into_iter().collect());
-            // Upstreams announce themselves again; a lost word of one changes nothing.
-            let _ = endpoint
-                .call(&leader, Request::Directory(ask), FORWARD_TIMEOUT)
-                .await;
-        });
-    }
-
-    /// Asks the leader, or any process that may know it, to be taken into the log.
-    fn ask_to_join(&self, member: &Member) {
-        let own = self.settings.address.to_string();
-        let known = member.raft().membership().replicas();
-        let mut hosts: Vec<String> = known.map(|(_, host)| host.clone()).collect();
-        hosts.extend(self.seeds().iter().map(SocketAddr::to_string));
-        hosts.retain(|host| *host != own);
-        hosts.dedup();
-        let ask = Ask::Join {
-            host: own.clone(),
-            replica: member.raft().id(),
-        };
-        let endpoint = self.endpoint.clone();
-        tokio::spawn(async move {
-            for host in hosts {
-                let request = Request::Directory(ask.clone());
-                let reply = endpoint.call(&host, request, FORWARD_TIMEOUT).await;
-                let leader = match reply {
-                    Ok(Response::Directory(Reply::Done)) => return,
-                    Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => leader,
-                    _ => continue,
-                };
-                let request = Request::Directory(ask.clone());
-                let reply = endpoint.call(&leader, request, FORWARD_TIMEOUT).await;
-                if matches!(reply, Ok(Response::Directory(Reply::Done))) {
-                    return;
-                }
-            }
-        });
-    }
-
     /// Sends what a step handed out.
     fn finish(&mut self, member: &Member, output: Output<oneshot::Sender<Reply>>) {
         self.work.note_output(&output);
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod moves;
+mod renew;
 mod tidy;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,15 +41,8 @@
 /// The same after several failures in a row, each of which doubles it: an upstream that can't be connected
 /// to is probably gone.
 const RETRY_MOST_MS: u64 = 1_200;
-/// Grants that wait for an answer at once: what a leader can see through before its lease ends.
-const GRANTS_IN_FLIGHT_MAX: usize = 64;
 /// Releases that wait for an answer at once; they may take as long as the work on their keys.
 const RELEASES_IN_FLIGHT_MAX: usize = 64;
-/// Grants a second where ranges are few: what is due at once after an election is spread over the time
-/// that the fewest need anyway.
-const GRANTS_PER_S: u64 = 400;
-/// Grants a second as a share of those that renewing all ranges takes, where that is more.
-const GRANTS_SHARE_PERCENT: u64 = 150;
 /// Ranges that may change owner at once.
 const MOVES_MAX: usize = 24;
 /// Between two planning rounds, in milliseconds.
@@ -445,70 +439,6 @@
             }
         }
     }
-
-    /// Sends grants and renewals that are due, the longest due first, as far as the leader can see them
-    /// through.
-    fn renew(&mut self, state: &State, now: Mono, step: &mut Step) {
-        self.follow_layout(state, now);
-        let in_flight = self.grants_in_flight();
-        let needed = self.renewals.len() as u64 * 1_000 * RENEWALS_PER_HOLD / self.hold_ms;
-        let per_s = GRANTS_PER_S.max(needed * GRANTS_SHARE_PERCENT / 100);
-        let earned = now.since(self.renewed_at) * per_s;
-        let room = GRANTS_IN_FLIGHT_MAX.saturating_sub(in_flight);
-        self.renewed_at = now;
-        self.allowance = (self.allowance + earned).min(GRANTS_IN_FLIGHT_MAX as u64 * 1_000);
-        let most = room.min((self.allowance / 1_000) as usize);
-        let due = self.renewals.iter().filter(|(_, r)| {
-            let unanswered = self.bounds.get(&r.owner).map_or(0, |b| b.unanswered);
-            !r.in_flight
-                && now >= r.next_at
-                && unanswered < UNANSWERED_MAX
-                && !self.is_silent(&r.owner, now)
-                && state.live(&r.owner).is_some()
-        });
-        let mut due: Vec<(Mono, Place)> = due.map(|(p, r)| (r.next_at, p.clone())).collect();
-        due.sort();
-        due.truncate(most);
-        self.allowance -= due.len() as u64 * 1_000;
-        for (_, place) in due {
-            let number = self.number();
-            let Some(renewal) = self.renewals.get_mut(&place) else {
-                continue;
-            };
-            let (owner, to) = (renewal.owner.clone(), renewal.to);
-            let Some(upstream) = state.live(&owner) else {
-                continue;
-            };
-            renewal.in_flight = true;
-            let handover = renewal.handover.clone();
-            let (service, fence, from) = place.clone();
-            let pending = Pending::Grant { owner, place, to };
-            self.pending.insert(number, pending);
-            step.calls.push(Call {
-                number,
-                address: upstream.address,
-                upstream: upstream.incarnation.id.clone(),
-                service,
-                from,
-                to,
-                fence,
-                order: Order::Grant {
-                    hold_ms: self.hold_ms,
-                    handover,
-                },
-                timeout_ms: GRANT_TIMEOUT_MS,
-            });
-        }
-    }
-
-    fn grants_in_flight(&self) -> usize {
-        let is_grant = |p: &&Pending| matches!(p, Pending::Grant { .. });
-        self.pending.values().filter(is_grant).count()
-    }
-
-    fn releases_in_flight(&self) -> usize {
-        self.pending.len() - self.grants_in_flight()
-    }
 }
 
 /// Returns how many ranges the keys of a service with `upstreams` upstreams are divided into at first.
--- /dev/null
+++ b/src/directory/lessor/renew.rs
@@ -0,0 +1,76 @@
+//! Grants and renewals: which are due, and how many a leader can see through at once.
+
+use super::*;
+
+/// Grants that wait for an answer at once: what a leader can see through before its lease ends.
+const GRANTS_IN_FLIGHT_MAX: usize = 64;
+/// Grants a second where ranges are few: what is due at once after an election is spread over the time
+/// that the fewest need anyway.
+const GRANTS_PER_S: u64 = 400;
+/// Grants a second as a share of those that renewing all ranges takes, where that is more.
+const GRANTS_SHARE_PERCENT: u64 = 150;
+impl Lessor {
+    /// Sends grants and renewals that are due, the longest due first, as far as the leader can see them
+    /// through.
+    pub(super) fn renew(&mut self, state: &State, now: Mono, step: &mut Step) {
+        self.follow_layout(state, now);
+        let in_flight = self.grants_in_flight();
+        let needed = self.renewals.len() as u64 * 1_000 * RENEWALS_PER_HOLD / self.hold_ms;
+        let per_s = GRANTS_PER_S.max(needed * GRANTS_SHARE_PERCENT / 100);
+        let earned = now.since(self.renewed_at) * per_s;
+        let room = GRANTS_IN_FLIGHT_MAX.saturating_sub(in_flight);
+        self.renewed_at = now;
+        self.allowance = (self.allowance + earned).min(GRANTS_IN_FLIGHT_MAX as u64 * 1_000);
+        let most = room.min((self.allowance / 1_000) as usize);
+        let due = self.renewals.iter().filter(|(_, r)| {
+            let unanswered = self.bounds.get(&r.owner).map_or(0, |b| b.unanswered);
+            !r.in_flight
+                && now >= r.next_at
+                && unanswered < UNANSWERED_MAX
+                && !self.is_silent(&r.owner, now)
+                && state.live(&r.owner).is_some()
+        });
+        let mut due: Vec<(Mono, Place)> = due.map(|(p, r)| (r.next_at, p.clone())).collect();
+        due.sort();
+        due.truncate(most);
+        self.allowance -= due.len() as u64 * 1_000;
+        for (_, place) in due {
+            let number = self.number();
+            let Some(renewal) = self.renewals.get_mut(&place) else {
+                continue;
+            };
+            let (owner, to) = (renewal.owner.clone(), renewal.to);
+            let Some(upstream) = state.live(&owner) else {
+                continue;
+            };
+            renewal.in_flight = true;
+            let handover = renewal.handover.clone();
+            let (service, fence, from) = place.clone();
+            let pending = Pending::Grant { owner, place, to };
+            self.pending.insert(number, pending);
+            step.calls.push(Call {
+                number,
+                address: upstream.address,
+                upstream: upstream.incarnation.id.clone(),
+                service,
+                from,
+                to,
+                fence,
+                order: Order::Grant {
+                    hold_ms: self.hold_ms,
+                    handover,
+                },
+                timeout_ms: GRANT_TIMEOUT_MS,
+            });
+        }
+    }
+
+    fn grants_in_flight(&self) -> usize {
+        let is_grant = |p: &&Pending| matches!(p, Pending::Grant { .. });
+        self.pending.values().filter(is_grant).count()
+    }
+
+    pub(super) fn releases_in_flight(&self) -> usize {
+        self.pending.len() - self.grants_in_flight()
+    }
+}
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,6 +6,7 @@
 pub mod balance;
 pub mod daemon;
 mod describe;
+mod follower;
 pub mod handle;
 pub mod lessor;
 pub mod membership;
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -5,6 +5,7 @@
 //! only effect is on the [`Store`], which is written before anything that depends on it is returned.
 
 mod lead;
+mod parts;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -14,15 +15,17 @@
 use crate::cell::store::Store;
 use crate::clock::Mono;
 use crate::event::Event;
-use crate::raft::{Entry, Log, Message, Payload, Raft, Ready, Timing};
+use crate::raft::{Entry, Log, Payload, Raft, Ready, Timing};
 use crate::storage::StorageError;
 
 use super::ask::{Ask, Reply, Update};
 use super::describe;
-use super::lessor::{Call, CallResult, Lessor};
+use super::lessor::Lessor;
 use super::membership::Roster;
 use super::model::{Phase, Upstream};
 use super::state::{Command, State, Versions};
+use parts::{Follower, Lead, Leaving, Waiting};
+pub use parts::{Output, Start, Step};
 
 /// The name of this log in events and messages.
 pub const LOG_NAME: &str = "directory";
@@ -47,103 +50,6 @@
 /// An upstream that hasn't been heard of for this long is forgotten, in milliseconds.
 const FORGET_AFTER_MS: u64 = 60_000;
 
-/// What a step hands out.
-#[derive(Debug)]
-pub struct Output<T> {
-    /// Messages to other replicas.
-    pub messages: Vec<Message>,
-    /// Answers to requests.
-    pub replies: Vec<(T, Reply)>,
-    /// Calls to upstreams.
-    pub calls: Vec<Call>,
-    /// Calls may be written until this point only.
-    pub calls_until: Mono,
-    /// What happened.
-    pub events: Vec<Event>,
-}
-
-impl<T> Default for Output<T> {
-    fn default() -> Output<T> {
-        Output {
-            messages: Vec::new(),
-            replies: Vec::new(),
-            calls: Vec::new(),
-            calls_until: Mono(0),
-            events: Vec::new(),
-        }
-    }
-}
-
-/// Something that a replica takes in.
-#[derive(Debug)]
-pub enum Step<T> {
-    /// Messages from other replicas.
-    Messages(Vec<Message>),
-    /// A request; the token comes back with the answer.
-    Ask(Ask, T),
-    /// The result of the call of that number to an upstream.
-    Called(u64, CallResult),
-}
-
-#[derive(Debug)]
-struct Waiting<T> {
-    ask: Ask,
-    token: T,
-    round: u64,
-    answer_at: Mono,
-}
-
-/// What a leader knows of an entry host.
-#[derive(Clone, Copy, Debug)]
-struct Follower {
-    asked_at: Mono,
-    /// The version of the upstreams that it has.
-    upstreams: u64,
-}
-
-/// An upstream's word that it leaves, which is in the log.
-#[derive(Debug)]
-struct Leaving<T> {
-    token: T,
-    index: u64,
-    answer_by: Mono,
-}
-
-#[derive(Debug)]
-struct Lead<T> {
-    term: u64,
-    lessor: Lessor,
-    lent_at: Mono,
-    lend_pending: u64,
-    waiting: VecDeque<Waiting<T>>,
-    proposals: BTreeMap<u64, (u64, T)>,
-    rounds: VecDeque<(u64, Mono)>,
-    lease_until: Mono,
-    followers: BTreeMap<String, Follower>,
-    /// Upstreams that leave, to be acknowledged once entry hosts know.
-    leaving: Vec<Leaving<T>>,
-    /// What may be sent to followers now, in thousandths of an update without news.
-    allowance: u64,
-    answered_at: Mono,
-    heard: BTreeMap<String, Mono>,
-    roster: Roster,
-}
-
-/// What a replica starts from.
-#[derive(Debug)]
-pub struct Start {
-    /// The log's intervals.
-    pub timing: Timing,
-    /// How long an upstream holds granted keys, in milliseconds.
-    pub hold_ms: u64,
-    /// Voters that the log should have.
-    pub voters: usize,
-    /// What the folder held.
-    pub recovered: crate::storage::Recovered,
-    /// Seeds the spread of election intervals.
-    pub seed: u64,
-}
-
 /// One replica of the directory.
 #[derive(Debug)]
 pub struct Replica<S, T> {
