Keep answers to 80% of an entry host's link, so that control gets through

What callers saw: CONFIG and DRAIN at single entry hosts on grown deployments, with the directory's leader at half of its processor share. Cause: downloads fill a link of 5 Mbit/s for seconds; datagrams are lost on a full link, answers over TCP aren't. Ruled out: the leader (0.07 of 0.15 cores, lines of LeaderWorked), loss between regions (it ended at 16.5 s), impairments of that host.

What is read from upstreams and what is written to callers waits its turn at 80% of the link in each direction; the link's bandwidth is a setting, and none means no pace.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -11,8 +11,9 @@
 };
 use super::state::{StoredConfig, Versions};
 
-/// Routes, upstreams and ranges, of some 60 to 150 bytes each, that take as much as an update itself.
-const PARTS_PER_WEIGHT: u64 = 32;
+/// Routes, upstreams and ranges, of some 60 to 150 bytes each, that take as much processor time to encode
+/// and encrypt as an update itself.
+const PARTS_PER_WEIGHT: u64 = 256;
 
 /// Requests that an entry host has seen, by key of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock::Mono;
+use crate::pace::{Paced, Pacer};
 
 /// Opening a connection takes at most this long.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,6 +71,7 @@
 pub struct Pool {
     address: SocketAddr,
     open_max: usize,
+    inbound: Pacer,
     open: Arc<AtomicUsize>,
     idle: Arc<Mutex<Vec<Connection>>>,
 }
@@ -80,11 +82,17 @@
         Pool {
             address,
             open_max: open_max.max(1),
+            inbound: Pacer::default(),
             open: Arc::default(),
             idle: Arc::default(),
         }
     }
 
+    /// Has what comes from the upstream keep to a link's bandwidth.
+    pub fn paced(self, inbound: Pacer) -> Pool {
+        Pool { inbound, ..self }
+    }
+
     /// Returns the number of open connections, idle ones included.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::SeqCst)
@@ -148,7 +156,7 @@
             return Err(NotConnected);
         };
         let _ = stream.set_nodelay(true);
-        let io = TokioIo::new(stream);
+        let io = TokioIo::new(Paced::reads(stream, self.inbound.clone()));
         let (sender, driver) = http1::handshake(io).await.map_err(|_| NotConnected)?;
         tokio::spawn(driver);
         Ok(Connection {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -24,6 +24,7 @@
 use crate::host::HostSettings;
 use crate::keys::Tls;
 use crate::lock::lock;
+use crate::pace::{LinkPacers, Paced, Pacer};
 use crate::transport::Endpoint;
 
 use super::follow::{Follower, KeyCounter};
@@ -108,7 +109,9 @@
         let (view_tx, view) = watch::channel(Arc::new(View::default()));
         let counter = Arc::new(KeyCounter::default());
         let ledger = Arc::new(Ledger::new(clock, view.clone(), recorder.clone()));
-        let peers = Arc::new(Peers::new(recorder.clone(), ledger.metrics.clone()));
+        let link = LinkPacers::new(settings.link_mbps);
+        let metrics = ledger.metrics.clone();
+        let peers = Arc::new(Peers::new(recorder.clone(), metrics, link.inbound));
         let seeds = Arc::new(Mutex::new(settings.seeds.clone()));
         let follower = Follower {
             host: settings.host.clone(),
@@ -145,7 +148,13 @@
         }
         tokio::spawn(serve_readiness(ready, view.clone(), stopping.clone()));
         let (stop, stopped) = watch::channel(false);
-        let serving = tokio::spawn(serve_callers(front, proxy.clone(), view, stopped));
+        let serving = tokio::spawn(serve_callers(
+            front,
+            proxy.clone(),
+            view,
+            link.outbound,
+            stopped,
+        ));
         Ok(Gateway {
             proxy,
             seeds,
@@ -196,6 +205,7 @@
     listener: TcpListener,
     proxy: Proxy<P>,
     view: watch::Receiver<Arc<View>>,
+    outbound: Pacer,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
@@ -205,7 +215,7 @@
             _ = stopped.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(stream, &proxy, &view, &graceful),
+            Ok((stream, _)) => serve_connection(stream, &proxy, &view, &outbound, &graceful),
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
@@ -216,6 +226,7 @@
     stream: TcpStream,
     proxy: &Proxy<P>,
     view: &watch::Receiver<Arc<View>>,
+    outbound: &Pacer,
     graceful: &GracefulShutdown,
 ) {
     // Without it answers are only a little later.
@@ -232,7 +243,7 @@
     };
     let head_bytes_max = (limits.header_bytes_max as usize).max(HEAD_BYTES_LEAST);
     let head_limit = Duration::from_millis(limits.header_timeout_ms);
-    let (intake, phase) = Intake::new(stream, head_limit);
+    let (intake, phase) = Intake::new(Paced::writes(stream, outbound.clone()), head_limit);
     let proxy = proxy.clone();
     let service = service_fn(move |req| {
         let (proxy, phase) = (proxy.clone(), phase.clone());
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -11,6 +11,7 @@
 use crate::entry::pool::Pool;
 use crate::event::{Event, Recorder};
 use crate::lock::lock;
+use crate::pace::Pacer;
 
 use super::balance::LoadView;
 use super::metrics::Metrics;
@@ -133,17 +134,19 @@
 pub struct Peers {
     recorder: Recorder,
     metrics: Arc<Metrics>,
+    inbound: Pacer,
     by_id: Mutex<BTreeMap<String, Arc<Peer>>>,
     /// How long upstreams work on a request, by service, in milliseconds.
     work_ms: Mutex<BTreeMap<String, f64>>,
 }
 
 impl Peers {
-    /// Returns no peers; what is passed over is recorded.
-    pub fn new(recorder: Recorder, metrics: Arc<Metrics>) -> Peers {
+    /// Returns no peers; what is passed over is recorded. What they send keeps to `inbound`.
+    pub fn new(recorder: Recorder, metrics: Arc<Metrics>, inbound: Pacer) -> Peers {
         Peers {
             recorder,
             metrics,
+            inbound,
             by_id: Mutex::default(),
             work_ms: Mutex::default(),
         }
@@ -194,7 +197,7 @@
             incarnation: upstream.incarnation.clone(),
             zone: upstream.zone.clone(),
             address: upstream.address,
-            pool: Pool::new(upstream.address, share as usize),
+            pool: Pool::new(upstream.address, share as usize).paced(self.inbound.clone()),
             service: upstream.service.clone(),
             load: Mutex::new(LoadView::new(
                 upstream.slots,
--- a/src/host.rs
+++ b/src/host.rs
@@ -47,6 +47,7 @@
     retry_ratio: Option<f64>,
     retry_slack: Option<f64>,
     retry_window: Option<String>,
+    link_mbps: Option<f64>,
 }
 
 /// A host's settings, checked.
@@ -81,6 +82,8 @@
     pub hold_ms: u64,
     /// From a request to stop to the end, in milliseconds.
     pub grace_ms: u64,
+    /// The bandwidth of the host's link in each direction, in megabits a second, when known.
+    pub link_mbps: Option<f64>,
     /// What all entry hosts together may repeat.
     pub retry: crate::gateway::retry::RetryLimits,
 }
@@ -156,6 +159,9 @@
         if !(0.0..=1.0).contains(&ratio) {
             faults.push(format!("retry_ratio: {ratio} is not between 0 and 1"));
         }
+        if raw.link_mbps.is_some_and(|mbps| mbps <= 0.0) {
+            faults.push("link_mbps: must be above 0".to_string());
+        }
         let peer_address = match (peer_address, faults.is_empty()) {
             (Some(peer_address), true) => peer_address,
             _ => return Err(Faults(faults)),
@@ -175,6 +181,7 @@
             losses_tolerated: raw.losses_tolerated,
             hold_ms: HOLD_MS.min(hold_max),
             grace_ms,
+            link_mbps: raw.link_mbps,
             retry: crate::gateway::retry::RetryLimits {
                 ratio,
                 slack: raw.retry_slack.unwrap_or(0.0),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod lock;
 pub mod logs;
 pub mod metrics;
+pub mod pace;
 pub mod platform;
 pub mod raft;
 pub mod report;
