--- a/src/directory/lessor/renew.rs
+++ b/src/directory/lessor/renew.rs
@@ -9,6 +9,7 @@
 const GRANTS_PER_S: u64 = 400;
 /// Grants a second as a share of those that renewing all ranges takes, where that is more.
 const GRANTS_SHARE_PERCENT: u64 = 150;
+
 impl Lessor {
     /// Sends grants and renewals that are due, the longest due first, as far as the leader can see them
     /// through.
