Don't send a replica more than it confirms, nor the same again while it arrives

Cause: a configuration of 1,800 routes is an entry of some 600 KB; up to 256 entries were under way to a replica in the other region, a batch that wasn't written within 1.2 s was dropped with its channel, and the same was sent again, for ever.

At most 256 KB and one entry are unconfirmed; a batch is given up only when nothing arrived from the peer within 1.2 s, eight times that at most.

--- a/src/directory/peers.rs
+++ b/src/directory/peers.rs
@@ -14,8 +14,10 @@
 
 /// Batches that may wait for a peer; more are dropped, and the log sends them again.
 const PEER_QUEUE_MAX: usize = 64;
-/// A batch that isn't sent after this long is dropped.
+/// A batch is dropped when it isn't sent after this long and nothing arrived from the peer meanwhile.
 const SEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// It is dropped after this many such times in any case.
+const SEND_TURNS_MAX: u32 = 8;
 
 /// Queues of messages by the peer's address.
 pub struct Peers {
@@ -82,12 +84,16 @@
         channel.send(Request::Raft(batch)).await?;
         Ok::<_, Report<TransportError>>(channel)
     };
-    let watch = endpoint.watch(peer);
-    match tokio::time::timeout(SEND_TIMEOUT, sending).await {
-        Ok(Ok(channel)) => Some(channel),
-        Ok(Err(_)) | Err(_) => {
-            endpoint.drop_silent(peer, watch);
-            None
+    let mut watch = endpoint.watch(peer);
+    tokio::pin!(sending);
+    // A large entry on a narrow link takes its time; to begin anew would take longer.
+    for _ in 0..SEND_TURNS_MAX {
+        match tokio::time::timeout(SEND_TIMEOUT, &mut sending).await {
+            Ok(Ok(channel)) => return Some(channel),
+            Err(_) if watch.has_heard() => {}
+            Ok(Err(_)) | Err(_) => break,
         }
     }
+    endpoint.drop_silent(peer, watch);
+    None
 }
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Body, Entry, Leadership, Payload, Progress, Raft, ReplicaId, Role, APPEND_BYTES_MAX,
-    APPEND_ENTRIES_MAX, IN_FLIGHT_ENTRIES_MAX, SNAPSHOT_ROUNDS,
+    APPEND_ENTRIES_MAX, IN_FLIGHT_BYTES_MAX, IN_FLIGHT_ENTRIES_MAX, SNAPSHOT_ROUNDS,
 };
 
 impl Raft {
@@ -97,10 +97,11 @@
             return;
         };
         let in_flight = prev_index.saturating_sub(progress.matched);
-        let room = match progress.snapshot_round {
-            Some(_) => 0,
-            None => IN_FLIGHT_ENTRIES_MAX.saturating_sub(in_flight) as usize,
-        };
+        let room = IN_FLIGHT_ENTRIES_MAX.saturating_sub(in_flight) as usize;
+        let is_full = room == 0
+            || progress.snapshot_round.is_some()
+            || self.log.bytes(progress.matched + 1, prev_index) >= IN_FLIGHT_BYTES_MAX;
+        let room = if is_full { 0 } else { room };
         let most = APPEND_ENTRIES_MAX.min(room);
         let entries = self.log.batch(progress.next, most, APPEND_BYTES_MAX);
         progress.next += entries.len() as u64;
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -79,6 +79,16 @@
         rest.take_while(within).cloned().collect()
     }
 
+    /// Returns the bytes of the commands from entry `from` up to entry `to`.
+    pub fn bytes(&self, from: u64, to: u64) -> usize {
+        let entries = (from..=to).filter_map(|index| self.get(index));
+        let size = |entry: &Entry| match &entry.payload {
+            Payload::Command(command) => command.len(),
+            _ => 0,
+        };
+        entries.map(size).sum()
+    }
+
     /// Adds an entry at the end.
     pub fn push(&mut self, entry: Entry) {
         assert_eq!(entry.index, self.last_index() + 1, "log has a gap");
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -29,6 +29,9 @@
 /// Entries that may be on their way to a replica before it confirms any: a slow one isn't sent more than it
 /// can take in.
 const IN_FLIGHT_ENTRIES_MAX: u64 = 256;
+/// No further entries are sent to a replica while it hasn't confirmed this many bytes of commands: on a narrow
+/// link more would be given up half-way and sent again.
+const IN_FLIGHT_BYTES_MAX: usize = 256 << 10;
 /// A snapshot that a replica hasn't confirmed is sent again after this many heartbeat rounds.
 const SNAPSHOT_ROUNDS: u64 = 10;
 
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -29,6 +29,8 @@
 const INITIAL_RTT: Duration = Duration::from_millis(70);
 /// Opening a connection takes at most this long.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A connection isn't given up for a shorter silence than this: four round trips between regions.
+const SILENCE_LEAST: Duration = Duration::from_millis(300);
 /// Streams that one peer may have open at once.
 const STREAMS_MAX: u32 = 4_096;
 /// Streams of control messages go ahead of traffic on the same connection.
@@ -154,8 +156,8 @@
         self.inner.quic.local_addr().ok()
     }
 
-    /// Asks a host and waits for its answer. A connection on which nothing at all arrived meanwhile is
-    /// given up; one on which something did is kept, since a new one would be no faster.
+    /// Asks a host and waits for its answer. A connection on which nothing at all arrived meanwhile, in
+    /// 300 ms or more, is given up; one on which something did is kept, since a new one would be no faster.
     ///
     /// # Errors
     ///
@@ -192,7 +194,7 @@
                 watch.connection = self.open_connection(host);
             }
             let has_heard = watch.has_heard();
-            if !has_heard {
+            if !has_heard && waited >= SILENCE_LEAST {
                 if let Some(connection) = &watch.connection {
                     self.drop_connection(host, connection);
                 }
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -63,6 +63,12 @@
         assert!(call.await.is_err());
     }
     client.call(&host, Request::Ping, PATIENCE).await.unwrap();
+    // Nothing can have arrived meanwhile, which says nothing of the connection.
+    for _ in 0..5 {
+        let call = client.call(&host, Request::Ping, Duration::from_micros(1));
+        assert!(call.await.is_err());
+    }
+    client.call(&host, Request::Ping, PATIENCE).await.unwrap();
     let dialled = client.dialled();
     assert_eq!((dialled.opened, dialled.failed), (1, 0));
 }
--- a/tests/updates.rs
+++ b/tests/updates.rs
@@ -6,6 +6,8 @@
 use carobreel::directory::model::{Repeat, Route, RouteConfig, Target};
 use carobreel::directory::state::{Command, State, StoredConfig, Versions};
 use carobreel::gateway::view::View;
+use carobreel::raft::{Body, HardState, Log, Membership, Message, Payload};
+use carobreel::raft::{Raft, ReplicaId, Snapshot, Timing};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -94,3 +96,58 @@
         }
     }
 }
+
+/// What a leader may have on its way to one replica: some seconds of a link between regions at the most.
+const IN_FLIGHT_MAX: usize = 1 << 20;
+
+#[test]
+fn a_replica_that_confirms_nothing_isn_t_sent_ever_more() {
+    let ids: Vec<ReplicaId> = (1..=3).map(ReplicaId).collect();
+    let voters = ids.iter().map(|id| (*id, id.0.to_string())).collect();
+    let snapshot = Snapshot {
+        membership: Membership {
+            voters,
+            learners: BTreeMap::new(),
+        },
+        ..Snapshot::default()
+    };
+    let timing = Timing {
+        heartbeat_ms: 100,
+        election_ms: 600,
+        reserve_ms: 0,
+    };
+    let log = Log::new(snapshot, Vec::new());
+    let mut raft = Raft::open(ids[0], timing, HardState::default(), log, Mono(0), 1);
+    raft.tick(Mono(2_000));
+    for _ in 0..2 {
+        let asked = raft.take_ready().messages;
+        let vote = asked.iter().find(|m| m.to == ids[1]).unwrap();
+        let Body::Vote { pre, .. } = vote.body else {
+            panic!("{vote:?}")
+        };
+        let granted = Message {
+            from: ids[1],
+            to: ids[0],
+            term: vote.term,
+            body: Body::VoteReply { pre, granted: true },
+        };
+        raft.receive(granted, Mono(2_001));
+    }
+    let mut sent = 0;
+    for n in 0..40 {
+        let now = Mono(2_010 + n * 20);
+        let command = Payload::Command(vec![0; 400_000]);
+        raft.propose(command, now).unwrap();
+        raft.tick(now);
+        for msg in raft.take_ready().messages {
+            if let (true, Body::Append { entries, .. }) = (msg.to == ids[2], &msg.body) {
+                let commands = entries.iter().map(|e| match &e.payload {
+                    Payload::Command(command) => command.len(),
+                    _ => 0,
+                });
+                sent += commands.sum::<usize>();
+            }
+        }
+    }
+    assert!(sent > 0 && sent <= IN_FLIGHT_MAX, "{sent} bytes");
+}
