Let heartbeats and votes overtake entries under way to a replica

Cause: heartbeats, votes and replies stood behind entries on one ordered stream. A heartbeat also named the last entry sent, so one that came first would have been refused and all of it sent again.

--- a/src/directory/peers.rs
+++ b/src/directory/peers.rs
@@ -1,4 +1,5 @@
-//! Messages of the log to other replicas, in order, on one channel for each.
+//! Messages of the log to other replicas: on one channel what keeps a leader known, on another one entries
+//! and states, which may take long on a narrow link. Each channel keeps its order.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,11 +20,20 @@
 /// It is dropped after this many such times in any case.
 const SEND_TURNS_MAX: u32 = 8;
 
-/// Queues of messages by the peer's address.
+/// Which channel carries a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Lane {
+    /// Heartbeats, votes and replies.
+    Control,
+    /// Entries and states.
+    Bulk,
+}
+
+/// Queues of messages by the peer's address and channel.
 pub struct Peers {
     own: String,
     endpoint: Endpoint,
-    queues: BTreeMap<String, mpsc::Sender<RaftBatch>>,
+    queues: BTreeMap<(String, Lane), mpsc::Sender<RaftBatch>>,
 }
 
 impl Peers {
@@ -38,23 +48,32 @@
 
     /// Queues messages for a peer. What doesn't fit is dropped.
     pub fn send(&mut self, host: &str, messages: Vec<Message>) {
-        if !self.queues.contains_key(host) {
-            let tx = open_queue(self.endpoint.clone(), host.to_string());
-            self.queues.insert(host.to_string(), tx);
+        let is_bulk = |msg: &Message| msg.body.is_bulk();
+        let (bulk, control) = messages.into_iter().partition(is_bulk);
+        self.queue(host, Lane::Control, control);
+        self.queue(host, Lane::Bulk, bulk);
+    }
+
+    fn queue(&mut self, host: &str, lane: Lane, messages: Vec<Message>) {
+        if messages.is_empty() {
+            return;
         }
+        let endpoint = &self.endpoint;
+        let queue = self
+            .queues
+            .entry((host.to_string(), lane))
+            .or_insert_with(|| open_queue(endpoint.clone(), host.to_string(), lane));
         let batch = RaftBatch {
             cell: LOG_NAME.to_string(),
             host: self.own.clone(),
             messages,
         };
-        if let Some(queue) = self.queues.get(host) {
-            // A full queue means a peer out of reach; the log repeats what it lacks.
-            let _ = queue.try_send(batch);
-        }
+        // A full queue means a peer out of reach; the log repeats what it lacks.
+        let _ = queue.try_send(batch);
     }
 }
 
-fn open_queue(endpoint: Endpoint, peer: String) -> mpsc::Sender<RaftBatch> {
+fn open_queue(endpoint: Endpoint, peer: String, lane: Lane) -> mpsc::Sender<RaftBatch> {
     let (tx, mut rx) = mpsc::channel::<RaftBatch>(PEER_QUEUE_MAX);
     tokio::spawn(async move {
         let mut channel = None;
@@ -62,24 +81,26 @@
             while let Ok(next) = rx.try_recv() {
                 batch.messages.extend(next.messages);
             }
-            channel = send_batch(&endpoint, &peer, channel, batch).await;
+            channel = send_batch(&endpoint, &peer, lane, channel, batch).await;
         }
     });
     tx
 }
 
-/// Sends a batch and returns the channel, unless it failed. A lost batch is sent again by the log's
-/// own heartbeats.
+/// Sends a batch and returns the channel, unless it failed. What a lost batch carried is sent again by the
+/// log.
 async fn send_batch(
     endpoint: &Endpoint,
     peer: &str,
+    lane: Lane,
     open: Option<Channel>,
     batch: RaftBatch,
 ) -> Option<Channel> {
     let sending = async {
-        let mut channel = match open {
-            Some(channel) => channel,
-            None => endpoint.channel(peer).await?,
+        let mut channel = match (open, lane) {
+            (Some(channel), _) => channel,
+            (None, Lane::Control) => endpoint.channel(peer).await?,
+            (None, Lane::Bulk) => endpoint.bulk_channel(peer).await?,
         };
         channel.send(Request::Raft(batch)).await?;
         Ok::<_, Report<TransportError>>(channel)
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -6,7 +6,8 @@
 
 use super::{
     Body, Entry, Leadership, Payload, Progress, Raft, ReplicaId, Role, APPEND_BYTES_MAX,
-    APPEND_ENTRIES_MAX, IN_FLIGHT_BYTES_MAX, IN_FLIGHT_ENTRIES_MAX, SNAPSHOT_ROUNDS,
+    APPEND_ENTRIES_MAX, IN_FLIGHT_BYTES_MAX, IN_FLIGHT_ENTRIES_MAX, SNAPSHOT_ROUNDS, STALLED_MS,
+    STALLED_MS_PER_KIB,
 };
 
 impl Raft {
@@ -60,18 +61,46 @@
                 next,
                 round: 0,
                 heard_at: now,
+                base: next.saturating_sub(1),
+                is_probing: false,
+                moved_at: now,
                 snapshot_round: None,
             });
         }
     }
 
-    pub(super) fn broadcast(&mut self) {
-        for to in self.others(true) {
-            self.send_append(to);
-        }
+    /// Sends a heartbeat, and entries if the replica can take more.
+    ///
+    /// The heartbeat names the last entry that the replica is taken to have, so that it may overtake
+    /// which are still on their way.
+    pub(super) fn send_heartbeat(&mut self, to: ReplicaId, now: Mono) {
+        self.check_stalled(to, now);
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let round = lead.round;
+        let Some(progress) = lead.progress.get(&to).copied() else {
+            return;
+        };
+        let snapshot = self.log.snapshot();
+        // While a snapshot is due or under way there is nothing older to name.
+        let (prev_index, prev_term) = match self.log.term_at(progress.base) {
+            Some(term) => (progress.base, term),
+            None => (snapshot.index, snapshot.term),
+        };
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries: Vec::new(),
+            commit: self.commit,
+            round,
+        };
+        self.send(to, body);
+        self.send_entries(to, now);
     }
 
-    pub(super) fn send_append(&mut self, to: ReplicaId) {
+    /// Sends the next entries, or a snapshot, as far as there is room for them on the way.
+    pub(super) fn send_entries(&mut self, to: ReplicaId, now: Mono) {
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
@@ -79,31 +108,32 @@
         let Some(progress) = lead.progress.get_mut(&to) else {
             return;
         };
-        let mut prev_index = progress.next.saturating_sub(1);
-        let mut prev_term = self.log.term_at(prev_index);
-        if prev_term.is_none() {
+        let prev_index = progress.next.saturating_sub(1);
+        let Some(prev_term) = self.log.term_at(prev_index) else {
             let is_due = |sent: u64| round >= sent + SNAPSHOT_ROUNDS;
             if progress.snapshot_round.is_none_or(is_due) {
                 progress.snapshot_round = Some(round);
                 let snapshot = self.log.snapshot().clone();
                 self.send(to, Body::Snapshot { snapshot, round });
-                return;
             }
-            // The heartbeat goes on while the snapshot is under way.
-            prev_index = self.log.snapshot().index;
-            prev_term = self.log.term_at(prev_index);
-        }
-        let Some(prev_term) = prev_term else {
             return;
         };
-        let in_flight = prev_index.saturating_sub(progress.matched);
+        if progress.is_probing || progress.snapshot_round.is_some() {
+            return;
+        }
+        let in_flight = prev_index.saturating_sub(progress.base);
         let room = IN_FLIGHT_ENTRIES_MAX.saturating_sub(in_flight) as usize;
-        let is_full = room == 0
-            || progress.snapshot_round.is_some()
-            || self.log.bytes(progress.matched + 1, prev_index) >= IN_FLIGHT_BYTES_MAX;
-        let room = if is_full { 0 } else { room };
+        if self.log.bytes(progress.base + 1, prev_index) >= IN_FLIGHT_BYTES_MAX {
+            return;
+        }
         let most = APPEND_ENTRIES_MAX.min(room);
         let entries = self.log.batch(progress.next, most, APPEND_BYTES_MAX);
+        if entries.is_empty() {
+            return;
+        }
+        if in_flight == 0 {
+            progress.moved_at = now;
+        }
         progress.next += entries.len() as u64;
         let body = Body::Append {
             prev_index,
@@ -115,6 +145,25 @@
         self.send(to, body);
     }
 
+    /// Goes back to what a replica confirmed when nothing of what was sent since arrives.
+    fn check_stalled(&mut self, to: ReplicaId, now: Mono) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&to) else {
+            return;
+        };
+        if progress.is_probing || progress.next <= progress.base + 1 {
+            return;
+        }
+        let bytes = self.log.bytes(progress.base + 1, progress.next - 1);
+        let patience_ms = STALLED_MS + (bytes as u64 >> 10) * STALLED_MS_PER_KIB;
+        if now.since(progress.moved_at) > patience_ms {
+            progress.next = progress.base + 1;
+            progress.moved_at = now;
+        }
+    }
+
     pub(super) fn on_append_reply(
         &mut self,
         from: ReplicaId,
@@ -133,21 +182,31 @@
         progress.heard_at = now;
         progress.round = progress.round.max(round);
         if matched {
+            if index > progress.matched {
+                progress.moved_at = now;
+            }
             progress.matched = progress.matched.max(index);
+            progress.base = progress.matched;
+            progress.is_probing = false;
             progress.snapshot_round = None;
             progress.next = progress.next.max(progress.matched + 1);
         } else {
-            progress.next = index.max(progress.matched) + 1;
+            progress.base = index.max(progress.matched);
+            progress.next = progress.base + 1;
+            progress.is_probing = true;
         }
         // A refusal below what is known to match is an old one, or comes from a replica that lost
         // its log; answering it at once could go on for ever.
         let credible = matched || index >= progress.matched;
         let awaits_snapshot = progress.snapshot_round.is_some();
         let behind = credible && progress.next <= last && !awaits_snapshot;
+        let is_probing = progress.is_probing;
         self.advance_round();
         self.advance_commit();
-        if behind {
-            self.send_append(from);
+        if behind && is_probing {
+            self.send_heartbeat(from, now);
+        } else if behind {
+            self.send_entries(from, now);
         }
     }
 
--- a/src/raft/message.rs
+++ b/src/raft/message.rs
@@ -155,6 +155,17 @@
     },
 }
 
+impl Body {
+    /// Tells whether the message carries entries or a state, and so may take long on its way.
+    pub fn is_bulk(&self) -> bool {
+        match self {
+            Body::Append { entries, .. } => !entries.is_empty(),
+            Body::Snapshot { .. } => true,
+            _ => false,
+        }
+    }
+}
+
 /// A message with its sender and receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -34,6 +34,10 @@
 const IN_FLIGHT_BYTES_MAX: usize = 256 << 10;
 /// A snapshot that a replica hasn't confirmed is sent again after this many heartbeat rounds.
 const SNAPSHOT_ROUNDS: u64 = 10;
+/// Entries of which none was confirmed for this long, in milliseconds, count as lost on their way.
+const STALLED_MS: u64 = 800;
+/// The same for each KiB of them, in milliseconds: the slowest link between regions that is borne.
+const STALLED_MS_PER_KIB: u64 = 8;
 
 /// After a restart, elections are spread over this part of the usual time: several times what a vote
 /// takes within a region.
@@ -66,6 +70,12 @@
     next: u64,
     round: u64,
     heard_at: Mono,
+    /// The last entry that it is taken to have: what it confirmed, once it has confirmed anything.
+    base: u64,
+    /// Whether it refused what was sent, and nothing since shows which entries it has.
+    is_probing: bool,
+    /// When it last confirmed an entry, or when entries were first sent after it had confirmed all.
+    moved_at: Mono,
     /// The round in which a snapshot was sent that isn't confirmed yet.
     snapshot_round: Option<u64>,
 }
@@ -126,8 +136,8 @@
     changed_from: Option<u64>,
     received: Option<Snapshot>,
     outbox: Vec<Message>,
-    /// Whether entries were proposed that no message carries yet.
-    unsent: bool,
+    /// When the last entry was proposed that no message carries yet.
+    unsent: Option<Mono>,
 }
 
 impl Raft {
@@ -162,7 +172,7 @@
             changed_from: None,
             received: None,
             outbox: Vec::new(),
-            unsent: false,
+            unsent: None,
         };
         raft.reset_election(now);
         raft
@@ -247,7 +257,9 @@
         lead.round += 1;
         let round = lead.round;
         self.heartbeat_at = now.plus(self.timing.heartbeat_ms);
-        self.broadcast();
+        for to in self.others(true) {
+            self.send_heartbeat(to, now);
+        }
         self.advance_round();
         Some(round)
     }
@@ -309,7 +321,7 @@
             );
         }
         let index = self.append(payload, now);
-        self.unsent = true;
+        self.unsent = Some(now);
         self.advance_commit();
         Ok(index)
     }
@@ -371,15 +383,17 @@
             || self.hard != self.stored
             || self.changed_from.is_some()
             || !self.outbox.is_empty()
-            || self.unsent
+            || self.unsent.is_some()
             || self.commit > self.applied
     }
 
     /// Returns what the steps since the last call ask for. What was proposed since then goes to each
     /// replica in one message.
     pub fn take_ready(&mut self) -> Ready {
-        if std::mem::take(&mut self.unsent) {
-            self.broadcast();
+        if let Some(now) = self.unsent.take() {
+            for to in self.others(true) {
+                self.send_entries(to, now);
+            }
         }
         let hard = (self.hard != self.stored).then_some(self.hard);
         self.stored = self.hard;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -37,6 +37,8 @@
 const STREAMS_MAX: u32 = 4_096;
 /// Streams of control messages go ahead of traffic on the same connection.
 const CONTROL_PRIORITY: i32 = 1;
+/// Channels of large messages go with the traffic.
+const BULK_PRIORITY: i32 = 0;
 
 /// Why a process can't be reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -223,10 +225,23 @@
 
     /// Opens a channel to a host: requests that aren't answered and arrive in their order.
     pub async fn channel(&self, host: &str) -> Result<Channel, Report<TransportError>> {
+        self.channel_of(host, CONTROL_PRIORITY).await
+    }
+
+    /// Opens a channel for large requests, which those of other channels overtake.
+    pub async fn bulk_channel(&self, host: &str) -> Result<Channel, Report<TransportError>> {
+        self.channel_of(host, BULK_PRIORITY).await
+    }
+
+    async fn channel_of(
+        &self,
+        host: &str,
+        priority: i32,
+    ) -> Result<Channel, Report<TransportError>> {
         let connection = self.connection(host).await?;
         let opened = connection.open_uni().await;
         let tx = self.check_lost(host, &connection, opened)?;
-        let _ = tx.set_priority(CONTROL_PRIORITY);
+        let _ = tx.set_priority(priority);
         Ok(Channel {
             endpoint: self.clone(),
             tx,
