Take an upstream's own word in its answers, and look again before sending

Change: Server-Leaving and Retry-After count at once on the host that reads them and belong to that start of the upstream; the leader is told, so that its keys are handed over; a key whose owner rests is refused at once with the time left; right before sending, the upstream's word and the directory's are looked at again, and a request that wasn't sent chooses anew without using up a try.

--- a/src/event.rs
+++ b/src/event.rs
@@ -100,6 +100,8 @@
     160 Warning UpstreamEjected "An upstream failed in this host's own observation and gets no new work for a while." { upstream: String, reason: String }
     161 Info UpstreamReadmitted "An ejected upstream gets work again." { upstream: String }
     162 Warning ConnectionSilent "An open connection stopped answering; the upstream's idle ones were closed." { upstream: String }
+    163 Info LeavingSeen "An upstream said in an answer that it leaves; this host sends it nothing more." { upstream: String }
+    164 Info RestAsked "An upstream turned a request away and wants nothing from this host for a while." { upstream: String, rest_ms: u64 }
     170 Warning PeerRefused "A process without a certificate of the deployment was turned away." { address: String, reason: String }
     171 Warning PeerUnreachable "A process can't be reached." { host: String, reason: String }
     172 Warning MessageRefused "A message of another process could not be read." { reason: String }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -40,6 +40,8 @@
     ErrorAnswer(Response<ReplyBody>),
     /// No answer, and why.
     Failed(&'static str, Sent),
+    /// Nothing was sent: while the request waited for a connection, the upstream ceased to take work.
+    Withdrawn,
 }
 
 /// A request as it goes to an upstream.
@@ -88,7 +90,7 @@
             Attempt::Answer(_) => place.succeed(peers, way_ms),
             Attempt::ErrorAnswer(_) => peers.note_failure(peer, "error answer", clock),
             Attempt::Failed(reason, Sent::MayHaveRun) => peers.note_failure(peer, reason, clock),
-            Attempt::Failed(_, Sent::NotRun) => place.settle(),
+            Attempt::Failed(_, Sent::NotRun) | Attempt::Withdrawn => place.settle(),
         }
         outcome
     }
@@ -109,6 +111,10 @@
             peers.note_unreachable(peer, clock);
             return Attempt::Failed("can't connect", Sent::NotRun);
         };
+        // What was known when the upstream was chosen may be old by now.
+        if !peer.takes_work(clock.now()) {
+            return Attempt::Withdrawn;
+        }
         let mut request = Request::new(Full::new(self.body));
         *request.method_mut() = self.method;
         *request.uri_mut() = self.uri;
@@ -127,6 +133,8 @@
             return Attempt::Failed("answer to another request", Sent::MayHaveRun);
         }
         let now = clock.now();
+        let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        peers.note_word(peer, &facts, refused, now);
         if let Some(load) = facts.load {
             let total = load.running + load.waiting;
             peer.load().report(total, load.slots, now);
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -49,6 +49,10 @@
     failures: u32,
     ejected_until: Mono,
     ejections: u32,
+    /// Until when the upstream wants nothing, as it said itself.
+    rests_until: Mono,
+    /// Whether the upstream said that it leaves. That never changes for one process.
+    is_leaving: bool,
 }
 
 impl LoadView {
@@ -66,6 +70,8 @@
             failures: 0,
             ejected_until: Mono(0),
             ejections: 0,
+            rests_until: Mono(0),
+            is_leaving: false,
         }
     }
 
@@ -138,9 +144,44 @@
         self.fail(now);
     }
 
-    /// Tells whether the upstream is passed over.
+    /// Notes that the upstream leaves; returns whether that is new.
+    pub fn leave(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Notes that the upstream wants nothing for `rest_ms`. Of several such words the latest end holds.
+    pub fn rest(&mut self, rest_ms: u64, now: Mono) {
+        self.rests_until = self.rests_until.max(now.plus(rest_ms));
+    }
+
+    /// Returns for how long the upstream still wants nothing, in milliseconds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::clock::Mono;
+    /// use carobreel::gateway::balance::LoadView;
+    ///
+    /// let mut view = LoadView::new(3, 90.0);
+    /// view.rest(2_000, Mono(100));
+    /// view.rest(500, Mono(200));
+    /// assert_eq!(view.rest_left_ms(Mono(600)), 1_500);
+    /// assert!(!view.takes_work(Mono(600)) && view.takes_work(Mono(2_100)));
+    /// assert!(view.leave());
+    /// assert!(!view.takes_work(Mono(2_100)));
+    /// ```
+    pub fn rest_left_ms(&self, now: Mono) -> u64 {
+        self.rests_until.since(now)
+    }
+
+    /// Tells whether the upstream takes work by its own word.
+    pub fn takes_work(&self, now: Mono) -> bool {
+        !self.is_leaving && now >= self.rests_until
+    }
+
+    /// Tells whether the upstream is passed over, by its own word or for its failures.
     pub fn is_ejected(&self, now: Mono) -> bool {
-        now < self.ejected_until
+        now < self.ejected_until || !self.takes_work(now)
     }
 
     /// Returns the age of the last report, in milliseconds.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::{Clock, Mono};
 use crate::directory::ask::{Ask, KeyCounts, Reply, Update};
-use crate::directory::model::Key;
+use crate::directory::model::{Key, Phase, Upstream};
 use crate::event::{Event, Recorder};
 use crate::lock::lock;
 use crate::transport::Endpoint;
@@ -152,7 +152,31 @@
         hint
     }
 
+    /// Tells the leader of upstreams that said to this host that they leave.
+    fn tell_leaving(&self, leader: &str) {
+        let view = self.view.borrow().clone();
+        for who in self.peers.take_leaving() {
+            let Some(known) = view.live(&who).cloned() else {
+                continue;
+            };
+            let (endpoint, log, leader) = (self.endpoint.clone(), self.log(), leader.to_string());
+            tokio::spawn(async move {
+                let ask = Ask::Announce(Upstream {
+                    phase: Phase::Draining,
+                    ..known
+                });
+                let asked_at = log.clock.now();
+                let request = Request::Directory(ask);
+                // This host keeps to it in any case; the upstream announces it too.
+                if let Err(e) = endpoint.call(&leader, request, ANSWER_TIMEOUT).await {
+                    log.unanswered(&leader, &e.current_context().to_string(), asked_at);
+                }
+            });
+        }
+    }
+
     async fn ask(&self, host: &str) -> Found {
+        self.tell_leaving(host);
         let mut ask = self.follow();
         if let Ask::Follow { counts, speeds, .. } = &mut ask {
             *counts = self.counter.take();
@@ -188,10 +212,10 @@
                 routes: next.config.routes.len() as u64,
             });
         }
+        self.view.send_replace(next.clone());
         if next.versions.upstreams != before.versions.upstreams {
             self.peers.retain(&next);
         }
-        self.view.send_replace(next);
     }
 }
 
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Mono};
 use crate::directory::ask::UpstreamSpeed;
 use crate::directory::model::{Incarnation, Upstream};
 use crate::entry::pool::Pool;
@@ -15,6 +16,7 @@
 
 use super::balance::LoadView;
 use super::metrics::Metrics;
+use super::protocol::AnswerFacts;
 use super::view::View;
 
 /// The share of an upstream's connections that entry hosts use together; the rest is for probes and
@@ -40,6 +42,8 @@
     service: String,
     load: Mutex<LoadView>,
     worked: Mutex<Worked>,
+    /// Whether the directory says that it takes no work any more.
+    is_withdrawn: AtomicBool,
 }
 
 /// Work that wasn't reported to the directory yet.
@@ -56,6 +60,11 @@
         worked.answers += 1;
     }
 
+    /// Tells whether a request may be sent to it, by its own word and the directory's.
+    pub fn takes_work(&self, now: Mono) -> bool {
+        !self.is_withdrawn.load(Ordering::Relaxed) && self.load().takes_work(now)
+    }
+
     /// Returns the view of its load.
     pub fn load(&self) -> MutexGuard<'_, LoadView> {
         lock(&self.load)
@@ -135,6 +144,8 @@
     recorder: Recorder,
     metrics: Arc<Metrics>,
     inbound: Pacer,
+    /// Upstreams that leave by their own word, and of which the directory wasn't told yet.
+    leaving: Mutex<Vec<Incarnation>>,
     by_id: Mutex<BTreeMap<String, Arc<Peer>>>,
     /// How long upstreams work on a request, by service, in milliseconds.
     work_ms: Mutex<BTreeMap<String, f64>>,
@@ -147,6 +158,7 @@
             recorder,
             metrics,
             inbound,
+            leaving: Mutex::default(),
             by_id: Mutex::default(),
             work_ms: Mutex::default(),
         }
@@ -204,6 +216,7 @@
                 self.work_ms(&upstream.service),
             )),
             worked: Mutex::default(),
+            is_withdrawn: AtomicBool::new(false),
         });
         by_id.insert(id.clone(), peer.clone());
         peer
@@ -241,9 +254,36 @@
         by_service.get(service).copied().unwrap_or(WORK_GUESS_MS)
     }
 
-    /// Drops the peers that `view` doesn't name any more.
+    /// Notes what an upstream's answer says of its own state. It counts at once, without the directory.
+    pub fn note_word(&self, peer: &Peer, facts: &AnswerFacts, refused: bool, now: Mono) {
+        let mut load = peer.load();
+        if facts.is_leaving && load.leave() {
+            self.recorder.record(Event::LeavingSeen {
+                upstream: peer.incarnation.id.clone(),
+            });
+            lock(&self.leaving).push(peer.incarnation.clone());
+        }
+        if let Some(rest_ms) = facts.rest_ms.filter(|_| refused) {
+            load.rest(rest_ms, now);
+            self.recorder.record(Event::RestAsked {
+                upstream: peer.incarnation.id.clone(),
+                rest_ms,
+            });
+        }
+    }
+
+    /// Returns the upstreams that said in an answer that they leave, since the last call.
+    pub fn take_leaving(&self) -> Vec<Incarnation> {
+        std::mem::take(&mut lock(&self.leaving))
+    }
+
+    /// Drops the peers that `view` doesn't name any more, and withdraws those that take no work.
     pub fn retain(&self, view: &View) {
         let mut by_id = lock(&self.by_id);
-        by_id.retain(|id, _| view.has_upstream(id));
+        by_id.retain(|id, peer| {
+            let is_live = view.live(&peer.incarnation).is_some();
+            peer.is_withdrawn.store(!is_live, Ordering::Relaxed);
+            view.has_upstream(id)
+        });
     }
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -42,6 +42,10 @@
     pub upstream: Option<String>,
     /// How long the upstream keeps the connection open without a request, in milliseconds.
     pub idle_ms: Option<u64>,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
+    /// For how long an upstream that turned the request away wants nothing more, in milliseconds.
+    pub rest_ms: Option<u64>,
 }
 
 /// Reads and writes the headers of one kind of deployment.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -210,6 +210,9 @@
             let picked = self.pick(call, &mut account.trail, refused_fence).await;
             let chosen = match picked {
                 Some(chosen) => chosen,
+                None if self.rest_left_ms(call) > 0 => {
+                    break Failure::refused("owner wants no work", self.rest_left_ms(call))
+                }
                 None if call.key.is_some() => {
                     break Failure::refused("key has no owner in reach", OWNER_RETRY_AFTER_MS)
                 }
@@ -237,6 +240,10 @@
                     ("error answer", Sent::MayHaveRun)
                 }
                 Attempt::Failed(reason, sent) => (reason, sent),
+                Attempt::Withdrawn => {
+                    account.trail.tried.pop();
+                    continue;
+                }
             };
             account.fail_attempt(&chosen, reason, sent, now);
             match sent {
@@ -269,6 +276,9 @@
         if let Some(chosen) = self.owner(call.service, key, refused) {
             return Some(chosen);
         }
+        if self.rest_left_ms(call) > OWNER_WAIT_MS {
+            return None;
+        }
         let began = self.inner.clock.now();
         let wait_ms = OWNER_WAIT_MS.min(call.end.since(began) / 3);
         let mut view = self.inner.view.clone();
@@ -295,12 +305,22 @@
         let (upstream, fence) = view.owner(service, key)?;
         let peer = self.inner.peers.get(upstream, &view);
         let now = self.inner.clock.now();
-        if refused == Some(fence) || peer.load().is_ejected(now) {
+        if refused == Some(fence) || !peer.takes_work(now) || peer.load().is_ejected(now) {
             return None;
         }
         Some(self.choose_peer(peer, fence, now))
     }
 
+    /// Returns for how long the owner of a request's key wants no work, in milliseconds.
+    fn rest_left_ms(&self, call: &Call<'_>) -> u64 {
+        let view = self.inner.view.borrow().clone();
+        let owner = call.key.and_then(|key| view.owner(call.service, key));
+        let Some((upstream, _)) = owner else { return 0 };
+        let peer = self.inner.peers.get(upstream, &view);
+        let left_ms = peer.load().rest_left_ms(self.inner.clock.now());
+        left_ms
+    }
+
     fn pick_any(&self, call: &Call<'_>, trail: &Trail) -> Option<Chosen> {
         let now = self.inner.clock.now();
         let view = self.inner.view.borrow().clone();
@@ -312,7 +332,8 @@
             .collect();
         let answer_kib = self.answer_kib(&call.route.name);
         let views = peers.iter().enumerate().map(|(n, peer)| {
-            let estimate = peer.load().estimate(now);
+            let takes_work = peer.takes_work(now);
+            let estimate = peer.load().estimate(now).filter(|_| takes_work);
             (n, estimate, self.way_cost_ms(&peer.zone, answer_kib))
         });
         let mut rng = rand::rng();
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -105,6 +105,11 @@
         self.ready.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns what is known of an upstream, whether it takes work or not.
+    pub fn upstream(&self, id: &str) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
     /// Tells whether an upstream of that id is known.
     pub fn has_upstream(&self, id: &str) -> bool {
         self.upstreams.contains_key(id)
@@ -117,7 +122,8 @@
         Some((upstream, range.fence))
     }
 
-    fn live(&self, who: &Incarnation) -> Option<&Upstream> {
+    /// Returns an upstream, if it takes work.
+    pub fn live(&self, who: &Incarnation) -> Option<&Upstream> {
         let known = self.upstreams.get(&who.id)?;
         (known.incarnation == *who && known.phase == Phase::Ready).then_some(known)
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,6 @@
 //! Headers of callers' requests and of upstreams' answers.
 
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 
 use crate::directory::model::Key;
 use crate::gateway::protocol::{AnswerFacts, CallerFacts, Load, Protocol};
@@ -18,6 +18,10 @@
 const LOAD: HeaderName = HeaderName::from_static("carobreel-server-load");
 /// The id of the upstream that answers.
 const UPSTREAM: HeaderName = HeaderName::from_static("carobreel-instance-id");
+/// The upstream leaves: it takes no new work soon.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// The longest rest that an upstream may ask for, in milliseconds; a longer one counts as this.
+const REST_MAX_MS: f64 = 300_000.0;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// The platform's headers.
@@ -48,6 +52,8 @@
             load: headers.get(LOAD).and_then(load),
             upstream: text(headers, &UPSTREAM).map(str::to_string),
             idle_ms: text(headers, &KEEP_ALIVE).and_then(idle_ms),
+            is_leaving: text(headers, &LEAVING).is_some_and(|v| v.trim() == "1"),
+            rest_ms: number(headers, &RETRY_AFTER).and_then(rest_ms),
         }
     }
 }
@@ -70,6 +76,13 @@
     })
 }
 
+/// Returns a rest in milliseconds. Dates and other words than a number of seconds aren't read; nor is a
+/// time that isn't above 0.
+fn rest_ms(seconds: f64) -> Option<u64> {
+    let is_time = seconds.is_finite() && seconds > 0.0;
+    is_time.then(|| (seconds * 1_000.0).min(REST_MAX_MS).ceil() as u64)
+}
+
 /// Reads `timeout=SECONDS` out of a `Keep-Alive` header.
 fn idle_ms(text: &str) -> Option<u64> {
     let mut parts = text.split(',').map(str::trim);
--- a/tests/bed/upstream.rs
+++ b/tests/bed/upstream.rs
@@ -45,6 +45,10 @@
     Raw,
     /// Takes this long, in milliseconds.
     Slow(u64),
+    /// Says in its answers that it leaves.
+    Leaves,
+    /// Refuses with proof that nothing ran, and with this as the time for which it wants nothing.
+    Rests(&'static str),
 }
 
 /// What an upstream saw.
@@ -243,6 +247,13 @@
             stream.write_all(answer.as_bytes()).await?;
             return Ok(true);
         }
+        if let Manner::Rests(seconds) = manner {
+            let headers = format!("carobreel-not-executed: 1\r\nretry-after: {seconds}\r\n");
+            stream
+                .write_all(respond(503, &headers, "").as_bytes())
+                .await?;
+            return Ok(true);
+        }
         let run = (id.clone(), Instant::now());
         self.seen.lock().unwrap().runs.push(run);
         if manner == Manner::Raw {
@@ -294,9 +305,16 @@
                 let whole = respond(200, &stamp, &"y".repeat(len));
                 (whole[..whole.len() - 9].to_string(), false)
             }
-            Manner::Well | Manner::Early | Manner::Sheds | Manner::Raw | Manner::Slow(_) => {
-                (respond(200, &stamp, &body), true)
+            Manner::Leaves => {
+                let leaving = format!("{stamp}server-leaving: 1\r\n");
+                (respond(200, &leaving, &body), true)
             }
+            Manner::Well
+            | Manner::Early
+            | Manner::Sheds
+            | Manner::Rests(_)
+            | Manner::Raw
+            | Manner::Slow(_) => (respond(200, &stamp, &body), true),
         };
         stream.write_all(bytes.as_bytes()).await?;
         if manner == Manner::Unframed {
