Pace uploads too: control shares the link with whatever callers send

Cause: of the four flows over an entry host's link of 3.7 Mbit/s only two were paced, upstreams' answers in and answers out. Callers' bodies in and the same bodies out to upstreams were not, and uploads came with this deployment: datagrams of control stand behind them or are lost.

--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock::Mono;
-use crate::pace::{Paced, Pacer};
+use crate::pace::{LinkPacers, Paced};
 
 /// Opening a connection takes at most this long.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -71,7 +71,7 @@
 pub struct Pool {
     address: SocketAddr,
     open_max: usize,
-    inbound: Pacer,
+    link: LinkPacers,
     open: Arc<AtomicUsize>,
     idle: Arc<Mutex<Vec<Connection>>>,
 }
@@ -82,15 +82,15 @@
         Pool {
             address,
             open_max: open_max.max(1),
-            inbound: Pacer::default(),
+            link: LinkPacers::default(),
             open: Arc::default(),
             idle: Arc::default(),
         }
     }
 
-    /// Has what comes from the upstream keep to a link's bandwidth.
-    pub fn paced(self, inbound: Pacer) -> Pool {
-        Pool { inbound, ..self }
+    /// Has what comes from the upstream and goes to it keep to a link's bandwidth.
+    pub fn paced(self, link: LinkPacers) -> Pool {
+        Pool { link, ..self }
     }
 
     /// Returns the number of open connections, idle ones included.
@@ -156,7 +156,7 @@
             return Err(NotConnected);
         };
         let _ = stream.set_nodelay(true);
-        let io = TokioIo::new(Paced::reads(stream, self.inbound.clone()));
+        let io = TokioIo::new(Paced::new(stream, self.link.clone()));
         let (sender, driver) = http1::handshake(io).await.map_err(|_| NotConnected)?;
         tokio::spawn(driver);
         Ok(Connection {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -24,7 +24,7 @@
 use crate::host::HostSettings;
 use crate::keys::Tls;
 use crate::lock::lock;
-use crate::pace::{LinkPacers, Paced, Pacer};
+use crate::pace::{LinkPacers, Paced};
 use crate::transport::Endpoint;
 
 use super::follow::{Follower, KeyCounter};
@@ -111,7 +111,7 @@
         let ledger = Arc::new(Ledger::new(clock, view.clone(), recorder.clone()));
         let link = LinkPacers::new(settings.link_mbps);
         let metrics = ledger.metrics.clone();
-        let peers = Arc::new(Peers::new(recorder.clone(), metrics, link.inbound));
+        let peers = Arc::new(Peers::new(recorder.clone(), metrics, link.clone()));
         let seeds = Arc::new(Mutex::new(settings.seeds.clone()));
         let follower = Follower {
             host: settings.host.clone(),
@@ -148,13 +148,7 @@
         }
         tokio::spawn(serve_readiness(ready, view.clone(), stopping.clone()));
         let (stop, stopped) = watch::channel(false);
-        let serving = tokio::spawn(serve_callers(
-            front,
-            proxy.clone(),
-            view,
-            link.outbound,
-            stopped,
-        ));
+        let serving = tokio::spawn(serve_callers(front, proxy.clone(), view, link, stopped));
         Ok(Gateway {
             proxy,
             seeds,
@@ -205,7 +199,7 @@
     listener: TcpListener,
     proxy: Proxy<P>,
     view: watch::Receiver<Arc<View>>,
-    outbound: Pacer,
+    link: LinkPacers,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
@@ -215,7 +209,7 @@
             _ = stopped.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(stream, &proxy, &view, &outbound, &graceful),
+            Ok((stream, _)) => serve_connection(stream, &proxy, &view, &link, &graceful),
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
@@ -226,7 +220,7 @@
     stream: TcpStream,
     proxy: &Proxy<P>,
     view: &watch::Receiver<Arc<View>>,
-    outbound: &Pacer,
+    link: &LinkPacers,
     graceful: &GracefulShutdown,
 ) {
     // Without it answers are only a little later.
@@ -243,7 +237,7 @@
     };
     let head_bytes_max = (limits.header_bytes_max as usize).max(HEAD_BYTES_LEAST);
     let head_limit = Duration::from_millis(limits.header_timeout_ms);
-    let (intake, phase) = Intake::new(Paced::writes(stream, outbound.clone()), head_limit);
+    let (intake, phase) = Intake::new(Paced::new(stream, link.clone()), head_limit);
     let proxy = proxy.clone();
     let service = service_fn(move |req| {
         let (proxy, phase) = (proxy.clone(), phase.clone());
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -12,7 +12,7 @@
 use crate::entry::pool::Pool;
 use crate::event::{Event, Recorder};
 use crate::lock::lock;
-use crate::pace::Pacer;
+use crate::pace::LinkPacers;
 
 use super::balance::LoadView;
 use super::metrics::Metrics;
@@ -143,7 +143,7 @@
 pub struct Peers {
     recorder: Recorder,
     metrics: Arc<Metrics>,
-    inbound: Pacer,
+    link: LinkPacers,
     /// Upstreams that leave by their own word, and of which the directory wasn't told yet.
     leaving: Mutex<Vec<Incarnation>>,
     by_id: Mutex<BTreeMap<String, Arc<Peer>>>,
@@ -152,12 +152,12 @@
 }
 
 impl Peers {
-    /// Returns no peers; what is passed over is recorded. What they send keeps to `inbound`.
-    pub fn new(recorder: Recorder, metrics: Arc<Metrics>, inbound: Pacer) -> Peers {
+    /// Returns no peers; what is passed over is recorded. What goes to and fro keeps to `link`.
+    pub fn new(recorder: Recorder, metrics: Arc<Metrics>, link: LinkPacers) -> Peers {
         Peers {
             recorder,
             metrics,
-            inbound,
+            link,
             leaving: Mutex::default(),
             by_id: Mutex::default(),
             work_ms: Mutex::default(),
@@ -209,7 +209,7 @@
             incarnation: upstream.incarnation.clone(),
             zone: upstream.zone.clone(),
             address: upstream.address,
-            pool: Pool::new(upstream.address, share as usize).paced(self.inbound.clone()),
+            pool: Pool::new(upstream.address, share as usize).paced(self.link.clone()),
             service: upstream.service.clone(),
             load: Mutex::new(LoadView::new(
                 upstream.slots,
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -91,9 +91,9 @@
 /// Both directions of a host's link; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct LinkPacers {
-    /// What comes from upstreams.
+    /// What comes from callers and upstreams.
     pub inbound: Pacer,
-    /// What goes to callers.
+    /// What goes to them.
     pub outbound: Pacer,
 }
 
@@ -118,23 +118,12 @@
 }
 
 impl<S> Paced<S> {
-    /// Paces what is read.
-    pub fn reads(stream: S, pacer: Pacer) -> Paced<S> {
+    /// Paces what is read and what is written by a link's two directions.
+    pub fn new(stream: S, link: LinkPacers) -> Paced<S> {
         Paced {
             stream,
-            reads: pacer,
-            writes: Pacer::default(),
-            reading: None,
-            writing: None,
-        }
-    }
-
-    /// Paces what is written.
-    pub fn writes(stream: S, pacer: Pacer) -> Paced<S> {
-        Paced {
-            stream,
-            reads: Pacer::default(),
-            writes: pacer,
+            reads: link.inbound,
+            writes: link.outbound,
             reading: None,
             writing: None,
         }
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -45,6 +45,11 @@
 impl Bed {
     /// Starts a replica and a gateway.
     pub async fn start(network: u8) -> Bed {
+        Bed::start_on(network, None).await
+    }
+
+    /// Starts a replica and a gateway with a link of so many megabits a second.
+    pub async fn start_on(network: u8, link_mbps: Option<f64>) -> Bed {
         let folder = tempfile::tempdir().unwrap();
         let clock = Clock::start();
         let recorder = Recorder::new("c1", silent());
@@ -73,7 +78,7 @@
             "callers": at(network, 2, CALLERS_PORT).to_string(),
             "readiness": at(network, 2, READINESS_PORT).to_string(),
             "seeds": [at(network, 1, OPERATORS_PORT).to_string()],
-            "retry_ratio": 0.2, "retry_slack": 50,
+            "retry_ratio": 0.2, "retry_slack": 50, "link_mbps": link_mbps,
         });
         let host = HostSettings::parse(&text.to_string()).unwrap();
         let recorder = Recorder::new("e1", silent());
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -5,11 +5,12 @@
 
 use std::time::{Duration, Instant};
 
-use bed::upstream::Manner;
-use bed::{get, post, Bed};
+use bed::upstream::{Manner, Upstream};
+use bed::{document, get, post, Bed};
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// Longer than what sockets buffer, and than what is held back of an answer.
 const LONG: usize = 3 << 20;
@@ -115,3 +116,35 @@
     let read = stream.read(&mut buf).await.unwrap();
     String::from_utf8_lossy(&buf[..read]).into_owned()
 }
+
+/// In megabits a second; callers and upstreams may take 80% of it in each direction.
+const LINK_MBPS: f64 = 8.0;
+/// Three bodies of 100 KB at 800 KB a second, less the burst of 30 ms and a turn of each connection.
+const UPLOADS_LEAST: Duration = Duration::from_millis(310);
+
+#[tokio::test]
+async fn uploads_leave_room_for_control_on_a_narrow_link() {
+    let bed = Bed::start_on(71, Some(LINK_MBPS)).await;
+    bed.configure_first(&document(1)).await;
+    let upstream = Upstream::start(&bed, 1, "files").await;
+    upstream.join(&bed).await;
+    bed.wait_until_served().await;
+    let began = Instant::now();
+    let mut sent = JoinSet::new();
+    for n in 0..3 {
+        let mut call = post("/file/x", &format!("u{n}"), 9_000).header("host", "one.example");
+        call.body = vec![7; 100_000].into();
+        sent.spawn(carobreel::http::send(bed.callers(), call));
+    }
+    for answer in sent.join_all().await {
+        assert_eq!(answer.unwrap().status, 200);
+    }
+    let took = began.elapsed();
+    assert!(took >= UPLOADS_LEAST, "{took:?}");
+    let seen = upstream.seen.lock().unwrap();
+    let whole = seen
+        .bodies
+        .iter()
+        .filter(|(len, even)| *len == 100_000 && *even);
+    assert_eq!(whole.count(), 3);
+}
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use carobreel::pace::{Paced, Pacer};
+use carobreel::pace::{LinkPacers, Paced};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// In megabits a second; 80% of it is 800 KB a second.
@@ -13,12 +13,12 @@
 
 #[tokio::test]
 async fn two_connections_share_what_a_link_admits() {
-    let pacer = Pacer::new(Some(LINK_MBPS));
+    let link = LinkPacers::new(Some(LINK_MBPS));
     let began = Instant::now();
     let mut transfers = tokio::task::JoinSet::new();
     for fill in 0..2_u8 {
         let (mut near, far) = tokio::io::duplex(64 << 10);
-        let mut far = Paced::reads(far, pacer.clone());
+        let mut far = Paced::new(far, link.clone());
         transfers.spawn(async move {
             let sent = vec![fill; BYTES];
             let sending = async {
@@ -39,7 +39,7 @@
 #[tokio::test]
 async fn writes_are_paced_and_whole() {
     let (mut near, far) = tokio::io::duplex(64 << 10);
-    let mut far = Paced::writes(far, Pacer::new(Some(LINK_MBPS)));
+    let mut far = Paced::new(far, LinkPacers::new(Some(LINK_MBPS)));
     let began = Instant::now();
     let writing = async {
         far.write_all(&vec![7; 2 * BYTES]).await.unwrap();
