Let short messages pass long ones on an entry host's link

At 3 Mbit/s four 90 KB answers a few seconds keep the link busy half of the time, and 1.5 KB waited for its turn with them, four times on its way. Ruled out: processor time (a tenth of the share), placing (the gateways' own lines have p50 382 ms for pedido where callers saw 645). Change: the first 4 KiB of a message pass at once and are charged all the same. Test: short_answers_don_t_stand_behind_ long_ones; before, each waits for the long ones' turns (27 ms each).

--- a/src/pace.rs
+++ b/src/pace.rs
@@ -18,6 +18,11 @@
 const LINK_PERCENT: f64 = 80.0;
 /// Bytes that one read or write moves at most, so that connections take turns.
 const TURN_BYTES: usize = 8 << 10;
+/// The first bytes of a message pass without waiting, so that short answers don't stand behind long ones.
+/// They count against the link all the same.
+const SHORT_BYTES: usize = 4 << 10;
+/// After a pause this long a connection carries a new message.
+const MESSAGE_PAUSE: Duration = Duration::from_millis(60);
 /// What may pass at once after a pause, as the time that the link takes for it.
 const BURST: Duration = Duration::from_millis(30);
 
@@ -107,14 +112,67 @@
     }
 }
 
-/// A connection whose reads or writes are paced.
+/// One direction of a connection.
+#[derive(Debug)]
+struct Flow {
+    pacer: Pacer,
+    waiting: Option<Pin<Box<Sleep>>>,
+    /// Bytes of the message that is under way.
+    passed: usize,
+    passed_at: Instant,
+}
+
+impl Flow {
+    fn new(pacer: Pacer) -> Flow {
+        Flow {
+            pacer,
+            waiting: None,
+            passed: 0,
+            passed_at: Instant::now(),
+        }
+    }
+
+    fn is_paced(&self) -> bool {
+        self.pacer.inner.is_some()
+    }
+
+    /// Waits for this flow's turn.
+    fn poll_turn(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if let Some(sleep) = &mut self.waiting {
+                ready!(sleep.as_mut().poll(cx));
+                self.waiting = None;
+                // A wait for the link isn't a pause of the message.
+                self.passed_at = Instant::now();
+            }
+            let now = Instant::now();
+            if self.passed < SHORT_BYTES || now - self.passed_at > MESSAGE_PAUSE {
+                return Poll::Ready(());
+            }
+            match self.pacer.wait(now) {
+                Some(wait) => self.waiting = Some(Box::pin(tokio::time::sleep(wait))),
+                None => return Poll::Ready(()),
+            }
+        }
+    }
+
+    fn charge(&mut self, bytes: usize) {
+        let now = Instant::now();
+        if now - self.passed_at > MESSAGE_PAUSE {
+            self.passed = 0;
+        }
+        self.passed += bytes;
+        self.passed_at = now;
+        self.pacer.charge(bytes, now);
+    }
+}
+
+/// A connection whose reads and writes are paced.
 #[derive(Debug)]
 pub struct Paced<S> {
     stream: S,
-    reads: Pacer,
-    writes: Pacer,
-    reading: Option<Pin<Box<Sleep>>>,
-    writing: Option<Pin<Box<Sleep>>>,
+    reads: Flow,
+    writes: Flow,
 }
 
 impl<S> Paced<S> {
@@ -122,27 +180,8 @@
     pub fn new(stream: S, link: LinkPacers) -> Paced<S> {
         Paced {
             stream,
-            reads: link.inbound,
-            writes: link.outbound,
-            reading: None,
-            writing: None,
-        }
-    }
-}
-
-fn poll_turn(
-    pacer: &Pacer,
-    waiting: &mut Option<Pin<Box<Sleep>>>,
-    cx: &mut Context<'_>,
-) -> Poll<()> {
-    loop {
-        if let Some(sleep) = waiting {
-            ready!(sleep.as_mut().poll(cx));
-            *waiting = None;
-        }
-        match pacer.wait(Instant::now()) {
-            Some(wait) => *waiting = Some(Box::pin(tokio::time::sleep(wait))),
-            None => return Poll::Ready(()),
+            reads: Flow::new(link.inbound),
+            writes: Flow::new(link.outbound),
         }
     }
 }
@@ -154,16 +193,16 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.reads.inner.is_none() {
+        if !this.reads.is_paced() {
             return Pin::new(&mut this.stream).poll_read(cx, buf);
         }
-        ready!(poll_turn(&this.reads, &mut this.reading, cx));
+        ready!(this.reads.poll_turn(cx));
         let mut part = [0; TURN_BYTES];
         let size = buf.remaining().min(TURN_BYTES);
         let mut turn = ReadBuf::new(&mut part[..size]);
         ready!(Pin::new(&mut this.stream).poll_read(cx, &mut turn))?;
         buf.put_slice(turn.filled());
-        this.reads.charge(turn.filled().len(), Instant::now());
+        this.reads.charge(turn.filled().len());
         Poll::Ready(Ok(()))
     }
 }
@@ -175,13 +214,13 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
-        if this.writes.inner.is_none() {
+        if !this.writes.is_paced() {
             return Pin::new(&mut this.stream).poll_write(cx, buf);
         }
-        ready!(poll_turn(&this.writes, &mut this.writing, cx));
+        ready!(this.writes.poll_turn(cx));
         let turn = &buf[..buf.len().min(TURN_BYTES)];
         let written = ready!(Pin::new(&mut this.stream).poll_write(cx, turn))?;
-        this.writes.charge(written, Instant::now());
+        this.writes.charge(written);
         Poll::Ready(Ok(written))
     }
 
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -51,3 +51,60 @@
     assert_eq!(got, vec![7; 2 * BYTES]);
     assert!(began.elapsed() >= LEAST);
 }
+
+/// What a short answer may wait beside long ones: less than one turn of a long one takes.
+const SHORT_WITHIN: Duration = Duration::from_millis(10);
+
+#[tokio::test]
+async fn short_answers_don_t_stand_behind_long_ones() {
+    let link = LinkPacers::new(Some(LINK_MBPS));
+    let mut long = tokio::task::JoinSet::new();
+    for _ in 0..3 {
+        let (mut near, far) = tokio::io::duplex(64 << 10);
+        let mut far = Paced::new(far, link.clone());
+        long.spawn(async move { far.write_all(&vec![1; BYTES]).await });
+        long.spawn(async move {
+            let mut got = Vec::new();
+            near.read_to_end(&mut got).await.map(|_| ())
+        });
+    }
+    // The long ones have used up what passes at once.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for _ in 0..5 {
+        let (mut near, far) = tokio::io::duplex(64 << 10);
+        let mut far = Paced::new(far, link.clone());
+        let began = Instant::now();
+        far.write_all(&[2; 1_500]).await.unwrap();
+        near.read_exact(&mut [0; 1_500]).await.unwrap();
+        let took = began.elapsed();
+        assert!(took <= SHORT_WITHIN, "{took:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(!long.is_empty());
+}
+
+/// 400 KB at 800 KB a second, less the burst of 30 ms and a first turn of each of eight connections.
+const MANY_LEAST: Duration = Duration::from_millis(380);
+
+#[tokio::test]
+async fn connections_that_wait_long_for_their_turn_keep_to_the_link_as_well() {
+    let link = LinkPacers::new(Some(LINK_MBPS));
+    let began = Instant::now();
+    let mut sent = tokio::task::JoinSet::new();
+    for _ in 0..8 {
+        let (mut near, far) = tokio::io::duplex(64 << 10);
+        let mut far = Paced::new(far, link.clone());
+        sent.spawn(async move {
+            let writing = async {
+                far.write_all(&vec![3; 50_000]).await.unwrap();
+                far.shutdown().await.unwrap();
+            };
+            let mut got = Vec::new();
+            let (_, read) = tokio::join!(writing, near.read_to_end(&mut got));
+            read.unwrap();
+        });
+    }
+    sent.join_all().await;
+    let took = began.elapsed();
+    assert!(took >= MANY_LEAST, "{took:?}");
+}
