Tell the planner how fast an upstream works, not how long its queue is

Cause: a host among 92 meets an upstream so rarely that it knows nothing of others' requests there; the wait behind them counted as slow work, and the leader took keys from an upstream for its queue and gave them back when the queue was gone. Change: what the answer itself reports of running and waiting requests goes before what was known when the request was sent.

--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -167,12 +167,26 @@
         });
     }
 
+    /// Returns how long each of `ids` works on a request, against their mean; those of which little is known
+    /// are left out.
+    pub fn slowness<'a>(&self, ids: impl IntoIterator<Item = &'a String>) -> BTreeMap<String, f64> {
+        let known = |id: &'a String| Some((id, self.mean_ms(id)?));
+        let means: Vec<(&String, f64)> = ids.into_iter().filter_map(known).collect();
+        let mean = means.iter().map(|(_, ms)| ms).sum::<f64>() / means.len().max(1) as f64;
+        let slowness = |ms: f64| (ms / mean).clamp(1.0 / SPEED_RANGE.1, 1.0 / SPEED_RANGE.0);
+        let all = means.into_iter();
+        all.map(|(id, ms)| (id.clone(), slowness(ms))).collect()
+    }
+
+    /// Returns how long an upstream works on a request, in milliseconds, if enough is known of it.
+    fn mean_ms(&self, id: &str) -> Option<f64> {
+        let worked = self.by_id.get(id)?;
+        (worked.answers >= ANSWERS_MIN).then(|| worked.total_ms / worked.answers)
+    }
+
     /// Returns the speeds of `owners`; those of which little is known count as average.
     fn of(&self, owners: &BTreeSet<Incarnation>) -> BTreeMap<Incarnation, f64> {
-        let known = |who: &Incarnation| {
-            let worked = self.by_id.get(&who.id)?;
-            (worked.answers >= ANSWERS_MIN).then(|| worked.total_ms / worked.answers)
-        };
+        let known = |who: &Incarnation| self.mean_ms(&who.id);
         let means: Vec<f64> = owners.iter().filter_map(known).collect();
         let mean = means.iter().sum::<f64>() / means.len().max(1) as f64;
         let speed = |who: &Incarnation| match known(who) {
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -102,8 +102,9 @@
         self.reported_at = now;
     }
 
-    /// Notes a whole answer: how long it took after `total` requests were there, this one included.
-    /// Returns how long the upstream worked on it, in milliseconds, as far as can be told.
+    /// Notes a whole answer: how long it took after `total` requests were there, this one included, as far
+    /// as this host knew. What others made it wait counts as slowness: it keeps hosts that know little of
+    /// each other from choosing the same upstream. Returns that sample, in milliseconds.
     pub fn succeed(&mut self, took_ms: f64, total: f64, now: Mono) -> f64 {
         let turns = (total / f64::from(self.slots)).max(1.0);
         let sample_ms = took_ms / turns;
@@ -113,6 +114,24 @@
         sample_ms
     }
 
+    /// Returns how long the upstream itself worked on a request that took `took_ms`, in milliseconds, as far
+    /// as can be told: what its answer reports of others goes before what was known when it was sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::clock::Mono;
+    /// use carobreel::gateway::balance::LoadView;
+    ///
+    /// let mut view = LoadView::new(3, 90.0);
+    /// view.report(9, 3, Mono(500));
+    /// assert_eq!(view.work_of(300.0, 1.0, Mono(500)), 100.0);
+    /// ```
+    pub fn work_of(&self, took_ms: f64, total: f64, now: Mono) -> f64 {
+        let turns = total.max(self.total(now)) / f64::from(self.slots);
+        took_ms / turns.max(1.0)
+    }
+
     /// Notes a request that wasn't answered for `took_ms`: the upstream is at least that slow.
     /// Returns the sample, when it says something.
     pub fn outlast(&mut self, took_ms: f64, total: f64, now: Mono) -> Option<f64> {
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -105,11 +105,13 @@
         if was_ejected {
             peers.note_readmitted(&self.peer);
         }
-        let sample_ms = self
-            .peer
-            .load()
-            .succeed(took_ms, self.total, self.clock.now());
-        self.peer.note_work(sample_ms);
+        let now = self.clock.now();
+        let (sample_ms, work_ms) = {
+            let mut load = self.peer.load();
+            let work_ms = load.work_of(took_ms, self.total, now);
+            (load.succeed(took_ms, self.total, now), work_ms)
+        };
+        self.peer.note_work(work_ms);
         peers.note_work(&self.peer.service, sample_ms);
     }
 
@@ -249,7 +251,8 @@
         speeds
     }
 
-    fn work_ms(&self, service: &str) -> f64 {
+    /// Returns how long upstreams of a service work on a request on average, in milliseconds.
+    pub fn work_ms(&self, service: &str) -> f64 {
         let by_service = lock(&self.work_ms);
         by_service.get(service).copied().unwrap_or(WORK_GUESS_MS)
     }
