--- a/src/cmd/trial.rs
+++ b/src/cmd/trial.rs
@@ -1,14 +1,14 @@
-//! Compares ways of placing keys.
+//! Compares ways of placing keys and requests.
 
 use std::ffi::OsString;
 
-use carobreel::trial::{run as try_way, Setting, WAYS};
+use carobreel::trial::{placing, run as try_way, Setting, WAYS};
 use lexopt::ValueExt;
 
 use crate::cli::{parse, Arg, CliResult};
 
 const USAGE: &str = "\
-Compare ways of placing keys on upstreams, on the same seeded traffic.
+Compare ways of placing keys and requests on upstreams, on the same seeded traffic.
 
 Usage: carobreel trial [--json] [--seed N]
 
@@ -58,5 +58,31 @@
             }
         }
     }
+    output.line("")?;
+    output
+        .line("| entry hosts | way | wait ms | p50 ms | p99 ms | in time | busiest over mean |")?;
+    output.line("|---|---|---|---|---|---|---|")?;
+    for hosts in [12, 92, 700] {
+        let setting = placing::Setting {
+            hosts,
+            upstreams: 89,
+            slots: 3,
+            waiting_max: 12,
+            per_s: 374.0,
+            work_ms: 420.0,
+            speeds: [0.7, 0.7, 1.6],
+            objective_ms: 1_500.0,
+            length_ms: 36_000,
+            seed,
+        };
+        for way in placing::WAYS {
+            let got = placing::run(way, &setting);
+            output.value(&(setting, way, got))?;
+            output.line(format!(
+                "| {hosts} | {way:?} | {:.0} | {:.0} | {:.0} | {:.3} | {:.2} |",
+                got.wait_ms, got.p50_ms, got.p99_ms, got.in_time, got.busiest
+            ))?;
+        }
+    }
     Ok(())
 }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -1,5 +1,7 @@
 //! Compares ways of placing keys on upstreams, on the same seeded traffic.
 
+pub mod placing;
+
 use std::collections::BTreeMap;
 
 use rand::SeedableRng;
--- /dev/null
+++ b/src/trial/placing.rs
@@ -0,0 +1,432 @@
+//! Compares ways in which many entry hosts place requests that any upstream may run, in seeded time and
+//! without a network.
+//!
+//! Answers the load of hundreds of hosts: each one sees only a trickle of requests, and upstreams differ in
+//! speed. Every entry host keeps the same [`LoadView`] as in the product.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+use crate::clock::Mono;
+use crate::directory::balance::Speeds;
+use crate::gateway::balance::{choose, LoadView};
+
+/// What is left out at the beginning, in milliseconds: hosts know nothing then.
+const WARM_MS: u64 = 6_000;
+/// Between two reports of speeds to the directory, in milliseconds.
+const SHARE_EVERY_MS: u64 = 400;
+/// How much the time of work varies, as a logarithm's deviation.
+const WORK_SPREAD: f64 = 0.47;
+/// A first guess at how long upstreams work on a request, in milliseconds.
+const WORK_GUESS_MS: f64 = 90.0;
+/// Availability zones, to which hosts and upstreams belong in turn.
+const ZONES: usize = 8;
+/// The weight of a new sample in a host's mean of all upstreams' working time.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// A way of placing requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Way {
+    /// Any upstream.
+    Random,
+    /// The one with the fewest requests of this host.
+    LeastOutstanding,
+    /// The better of two that are drawn, by this host's estimate.
+    TwoChoices,
+    /// The best by this host's estimate; it knows only speeds that it found itself.
+    OwnEstimate,
+    /// The same, with speeds that all hosts found together.
+    SharedSpeeds,
+    /// The best of three that are drawn by the speed that all hosts found together.
+    DrawnBySpeed,
+    /// One host a zone places for the others of the zone, on the zone's upstreams only.
+    HostOfZone,
+    /// One queue for all requests, which sees every slot: the bound.
+    OneQueue,
+}
+
+/// Every way.
+pub const WAYS: [Way; 8] = [
+    Way::Random,
+    Way::LeastOutstanding,
+    Way::TwoChoices,
+    Way::OwnEstimate,
+    Way::SharedSpeeds,
+    Way::DrawnBySpeed,
+    Way::HostOfZone,
+    Way::OneQueue,
+];
+
+/// What is placed, and where.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Setting {
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Upstreams.
+    pub upstreams: usize,
+    /// Requests that an upstream works on at once.
+    pub slots: u32,
+    /// Requests that may wait at an upstream.
+    pub waiting_max: usize,
+    /// Requests a second at all hosts together.
+    pub per_s: f64,
+    /// How long an upstream of speed 1 works on a request, in milliseconds.
+    pub work_ms: f64,
+    /// Speeds, which upstreams have in turn.
+    pub speeds: [f64; 3],
+    /// Within how long a request is to be answered, in milliseconds.
+    pub objective_ms: f64,
+    /// For how long requests come, in milliseconds.
+    pub length_ms: u64,
+    /// Seeds everything.
+    pub seed: u64,
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Outcome {
+    /// The mean wait beyond the work itself, in milliseconds.
+    pub wait_ms: f64,
+    /// Half of the answers came within this, in milliseconds.
+    pub p50_ms: f64,
+    /// All but one in a hundred came within this, in milliseconds.
+    pub p99_ms: f64,
+    /// The share of requests that were answered within the objective.
+    pub in_time: f64,
+    /// The busiest upstream's time of work over the mean.
+    pub busiest: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    host: usize,
+    sent_ms: f64,
+    total: f64,
+    work_ms: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Server {
+    speed: f64,
+    running: u32,
+    waiting: VecDeque<Job>,
+    busy_ms: f64,
+}
+
+/// Microseconds, an order for ties, and the upstream that ends a job, or none for an arrival.
+type Due = Reverse<(u64, u64, Option<usize>)>;
+
+struct Run {
+    way: Way,
+    setting: Setting,
+    rng: Pcg64Mcg,
+    servers: Vec<Server>,
+    running: BTreeMap<u64, Job>,
+    views: Vec<Vec<LoadView>>,
+    /// What each host takes for the mean time of work, in milliseconds.
+    means: Vec<f64>,
+    shared: Speeds,
+    slowness: BTreeMap<String, f64>,
+    shared_at: Mono,
+    due: BinaryHeap<Due>,
+    order: u64,
+    now_ms: f64,
+    waits_ms: Vec<f64>,
+    answers_ms: Vec<f64>,
+    refused: u64,
+    backlog: VecDeque<Job>,
+}
+
+/// Plays one way.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::trial::placing::{run, Setting, Way};
+///
+/// let setting = Setting {
+///     hosts: 4,
+///     upstreams: 6,
+///     slots: 3,
+///     waiting_max: 12,
+///     per_s: 25.0,
+///     work_ms: 420.0,
+///     speeds: [0.7, 0.7, 1.6],
+///     objective_ms: 1_500.0,
+///     length_ms: 12_000,
+///     seed: 1,
+/// };
+/// assert!(run(Way::OneQueue, &setting).wait_ms <= run(Way::Random, &setting).wait_ms);
+/// ```
+pub fn run(way: Way, setting: &Setting) -> Outcome {
+    let s = *setting;
+    let server = |n: usize| Server {
+        speed: s.speeds[n % s.speeds.len()],
+        ..Server::default()
+    };
+    let view = LoadView::new(s.slots, WORK_GUESS_MS);
+    let mut run = Run {
+        way,
+        setting: s,
+        rng: Pcg64Mcg::seed_from_u64(s.seed),
+        servers: (0..s.upstreams).map(server).collect(),
+        running: BTreeMap::new(),
+        views: vec![vec![view; s.upstreams]; s.hosts],
+        means: vec![WORK_GUESS_MS; s.hosts],
+        shared: Speeds::default(),
+        slowness: BTreeMap::new(),
+        shared_at: Mono(0),
+        due: BinaryHeap::new(),
+        order: 0,
+        now_ms: 0.0,
+        waits_ms: Vec::new(),
+        answers_ms: Vec::new(),
+        refused: 0,
+        backlog: VecDeque::new(),
+    };
+    run.push(0.0, None);
+    run.play();
+    run.outcome()
+}
+
+impl Run {
+    fn play(&mut self) {
+        let gap = Exp::new(self.setting.per_s / 1_000.0).expect("the rate is above 0");
+        while let Some(Reverse((at_us, order, server))) = self.due.pop() {
+            self.now_ms = at_us as f64 / 1_000.0;
+            if let Some(server) = server {
+                self.finish(server, order);
+            } else if self.now_ms < self.setting.length_ms as f64 {
+                self.arrive();
+                let next = gap.sample(&mut self.rng);
+                self.push(next, None);
+            }
+        }
+    }
+
+    fn now(&self) -> Mono {
+        // 0 stands for never in a view.
+        Mono(self.now_ms as u64 + 1)
+    }
+
+    fn push(&mut self, after_ms: f64, server: Option<usize>) -> u64 {
+        self.order += 1;
+        let at_us = ((self.now_ms + after_ms) * 1_000.0) as u64;
+        self.due.push(Reverse((at_us, self.order, server)));
+        self.order
+    }
+
+    fn arrive(&mut self) {
+        self.share();
+        let host = self.rng.random_range(0..self.setting.hosts);
+        let host = match self.way {
+            Way::HostOfZone => host % ZONES,
+            _ => host,
+        };
+        let spread = LogNormal::new(-WORK_SPREAD * WORK_SPREAD / 2.0, WORK_SPREAD);
+        let spread = spread.expect("the deviation is valid");
+        let job = Job {
+            host,
+            sent_ms: self.now_ms,
+            total: 0.0,
+            work_ms: self.setting.work_ms * spread.sample(&mut self.rng),
+        };
+        if self.way == Way::OneQueue {
+            self.backlog.push_back(job);
+            self.serve_backlog();
+            return;
+        }
+        let chosen = self.place(host);
+        let now = self.now();
+        let view = &mut self.views[host][chosen];
+        view.own += 1;
+        let job = Job {
+            total: view.total(now),
+            ..job
+        };
+        self.offer(chosen, job);
+    }
+
+    fn place(&mut self, host: usize) -> usize {
+        let count = self.setting.upstreams;
+        let now = self.now();
+        let rng = &mut self.rng;
+        match self.way {
+            Way::Random | Way::OneQueue => rng.random_range(0..count),
+            Way::LeastOutstanding => {
+                let from = rng.random_range(0..count);
+                let views = &self.views[host];
+                let order = (0..count).map(|n| (from + n) % count);
+                order.min_by_key(|n| views[*n].own).unwrap_or(from)
+            }
+            Way::TwoChoices => {
+                let (a, b) = (rng.random_range(0..count), rng.random_range(0..count));
+                let answer_ms = |n: usize| self.views[host][n].answer_ms(now);
+                if answer_ms(a) <= answer_ms(b) {
+                    a
+                } else {
+                    b
+                }
+            }
+            Way::DrawnBySpeed => {
+                let mean_ms = self.means[host];
+                let slowness: Vec<f64> = (0..count)
+                    .map(|n| self.slowness.get(&n.to_string()).copied().unwrap_or(1.0))
+                    .collect();
+                let total: f64 = slowness.iter().map(|s| 1.0 / s).sum();
+                let mut best: Option<(f64, usize)> = None;
+                for _ in 0..3 {
+                    let mut left = rng.random_range(0.0..total);
+                    let mut drawn = count - 1;
+                    for (n, s) in slowness.iter().enumerate() {
+                        left -= 1.0 / s;
+                        if left <= 0.0 {
+                            drawn = n;
+                            break;
+                        }
+                    }
+                    let view = &mut self.views[host][drawn];
+                    view.set_mean(mean_ms * slowness[drawn]);
+                    let ms = view.answer_ms(now);
+                    if best.is_none_or(|(other, _)| ms < other) {
+                        best = Some((ms, drawn));
+                    }
+                }
+                best.map_or(0, |(_, n)| n)
+            }
+            Way::HostOfZone => {
+                let mean_ms = self.means[host];
+                let zone = host % ZONES;
+                let views = self.views[zone].iter_mut().enumerate();
+                let mine = views.filter(|(n, _)| n / 3 % ZONES == zone);
+                let estimates = mine.map(|(n, view)| {
+                    view.set_mean(mean_ms);
+                    (n, view.estimate(now), 0.0)
+                });
+                let choice = choose(estimates, || rng.random_range(0.0..1.0));
+                choice.map_or(0, |c| c.position)
+            }
+            Way::OwnEstimate | Way::SharedSpeeds => {
+                let mean_ms = self.means[host];
+                for (n, view) in self.views[host].iter_mut().enumerate() {
+                    let slowness = self.slowness.get(&n.to_string()).copied();
+                    view.set_mean(mean_ms * slowness.unwrap_or(1.0));
+                }
+                let views = self.views[host].iter().enumerate();
+                let estimates = views.map(|(n, view)| (n, view.estimate(now), 0.0));
+                let choice = choose(estimates, || rng.random_range(0.0..1.0));
+                choice.map_or(0, |c| c.position)
+            }
+        }
+    }
+
+    /// Has the directory pass on speeds, as often as it does.
+    fn share(&mut self) {
+        let now = self.now();
+        let elapsed_ms = now.since(self.shared_at);
+        if !matches!(self.way, Way::SharedSpeeds | Way::DrawnBySpeed) || elapsed_ms < SHARE_EVERY_MS
+        {
+            return;
+        }
+        self.shared_at = now;
+        self.shared.decay(elapsed_ms);
+        let ids: Vec<String> = (0..self.setting.upstreams).map(|n| n.to_string()).collect();
+        self.slowness = self.shared.slowness(&ids);
+    }
+
+    fn offer(&mut self, n: usize, job: Job) {
+        let server = &mut self.servers[n];
+        if server.running < self.setting.slots {
+            self.start(n, job);
+        } else if server.waiting.len() < self.setting.waiting_max {
+            server.waiting.push_back(job);
+        } else {
+            self.refused += 1;
+            let view = &mut self.views[job.host][n];
+            view.own -= 1;
+        }
+    }
+
+    fn start(&mut self, n: usize, job: Job) {
+        let server = &mut self.servers[n];
+        server.running += 1;
+        let takes_ms = job.work_ms / server.speed;
+        server.busy_ms += takes_ms;
+        if self.now_ms >= WARM_MS as f64 {
+            self.waits_ms.push(self.now_ms - job.sent_ms);
+        }
+        let order = self.push(takes_ms, Some(n));
+        self.running.insert(order, job);
+    }
+
+    fn finish(&mut self, n: usize, order: u64) {
+        let Some(job) = self.running.remove(&order) else {
+            return;
+        };
+        let server = &mut self.servers[n];
+        server.running -= 1;
+        let next = server.waiting.pop_front();
+        if let Some(next) = next {
+            self.start(n, next);
+        }
+        let took_ms = self.now_ms - job.sent_ms;
+        if job.sent_ms >= WARM_MS as f64 {
+            self.answers_ms.push(took_ms);
+        }
+        if self.way == Way::OneQueue {
+            self.serve_backlog();
+            return;
+        }
+        let server = &self.servers[n];
+        let total = server.running + server.waiting.len() as u32;
+        let now = self.now();
+        let view = &mut self.views[job.host][n];
+        view.report(total + 1, self.setting.slots, now);
+        let sample_ms = view.succeed(took_ms, job.total, now);
+        view.own -= 1;
+        let mean = &mut self.means[job.host];
+        *mean += (sample_ms - *mean) * MEAN_WEIGHT;
+        self.shared.add(&n.to_string(), sample_ms as u32, 1);
+    }
+
+    fn serve_backlog(&mut self) {
+        while !self.backlog.is_empty() {
+            let slots = self.setting.slots;
+            let servers = self.servers.iter().enumerate();
+            let free = servers.filter(|(_, server)| server.running < slots);
+            let fastest = free.max_by(|(_, a), (_, b)| a.speed.total_cmp(&b.speed));
+            let Some(n) = fastest.map(|(n, _)| n) else {
+                return;
+            };
+            if let Some(job) = self.backlog.pop_front() {
+                self.start(n, job);
+            }
+        }
+    }
+
+    fn outcome(mut self) -> Outcome {
+        self.answers_ms.sort_by(f64::total_cmp);
+        let count = self.answers_ms.len().max(1) as f64;
+        let at = |share: f64| {
+            let place = (count * share) as usize;
+            self.answers_ms.get(place).copied().unwrap_or(0.0)
+        };
+        let in_time = |ms: &&f64| **ms <= self.setting.objective_ms;
+        let busy: Vec<f64> = self.servers.iter().map(|s| s.busy_ms).collect();
+        let mean = busy.iter().sum::<f64>() / busy.len() as f64;
+        Outcome {
+            wait_ms: self.waits_ms.iter().sum::<f64>() / self.waits_ms.len().max(1) as f64,
+            p50_ms: at(0.5),
+            p99_ms: at(0.99),
+            in_time: self.answers_ms.iter().filter(in_time).count() as f64
+                / (count + self.refused as f64),
+            busiest: busy.iter().copied().fold(0.0, f64::max) / mean,
+        }
+    }
+}
