--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -15,8 +15,9 @@
 use crate::clock::Mono;
 
 use super::ask::UpstreamSpeed;
-use super::balance::{KeyRates, Moving, Plan, Speeds};
+use super::balance::{KeyRates, Moving, Plan};
 use super::model::{parts_outside, Incarnation, Key, KeyRange, KeyTable, Phase};
+use super::speeds::Speeds;
 use super::state::{Command, State};
 
 /// A granted range: its service, its fencing token and its first key.
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -16,5 +16,6 @@
 mod peers;
 pub mod replica;
 mod serve;
+pub mod speeds;
 pub mod state;
 mod work;
--- a/src/trial/placing.rs
+++ b/src/trial/placing.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::clock::Mono;
-use crate::directory::balance::Speeds;
+use crate::directory::speeds::Speeds;
 use crate::gateway::balance::{choose, LoadView};
 
 /// What is left out at the beginning, in milliseconds: hosts know nothing then.
