--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -167,7 +167,7 @@
                 });
                 let asked_at = log.clock.now();
                 let request = Request::Directory(ask);
-                // This host keeps to it in any case; the upstream announces it too.
+                // It isn't asked again: this host keeps to it in any case, and the upstream announces it too.
                 if let Err(e) = endpoint.call(&leader, request, ANSWER_TIMEOUT).await {
                     log.unanswered(&leader, &e.current_context().to_string(), asked_at);
                 }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -258,6 +258,7 @@
     }
 
     /// Notes what an upstream's answer says of its own state. It counts at once, without the directory.
+    /// `refused` tells whether the answer turned the request away.
     pub fn note_word(&self, peer: &Peer, facts: &AnswerFacts, refused: bool, now: Mono) {
         let mut load = peer.load();
         if facts.is_leaving && load.leave() {
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -72,7 +72,7 @@
     /// Sends a heartbeat, and entries if the replica can take more.
     ///
     /// The heartbeat names the last entry that the replica is taken to have, so that it may overtake
-    /// which are still on their way.
+    /// entries which are still on their way.
     pub(super) fn send_heartbeat(&mut self, to: ReplicaId, now: Mono) {
         self.check_stalled(to, now);
         let Role::Leader(lead) = &self.role else {
