--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -168,6 +168,24 @@
     }
 }
 
+/// Starts a bed with two upstreams of the service that any of them serves.
+pub async fn two(network: u8) -> (Bed, Upstream, Upstream) {
+    let bed = Bed::start(network).await;
+    bed.configure_first(&document(1)).await;
+    let one = Upstream::start(&bed, 1, "files").await;
+    let other = Upstream::start(&bed, 2, "files").await;
+    one.join(&bed).await;
+    other.join(&bed).await;
+    for upstream in [&one, &other] {
+        wait_for("each upstream is used", READY, async || {
+            let answer = bed.request(get("/read/warm", "w", 1_000)).await;
+            answer.is_ok_and(|a| a.status == 200) && upstream.runs() > 0
+        })
+        .await;
+    }
+    (bed, one, other)
+}
+
 fn at(network: u8, host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 77, network, host], port))
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bed::upstream::{Manner, Upstream};
-use bed::{document, get, post, wait_for, Bed, READY};
+use bed::{document, get, post, two, wait_for, Bed, READY};
 use carobreel::http::Call;
 use serde_json::json;
 
@@ -18,24 +18,6 @@
 /// The bound for a key to be served again after a loss.
 const SERVED_AGAIN: Duration = Duration::from_secs(5);
 
-/// Starts a bed with two upstreams of the service that any of them serves.
-async fn two(network: u8) -> (Bed, Upstream, Upstream) {
-    let bed = Bed::start(network).await;
-    bed.configure_first(&document(1)).await;
-    let one = Upstream::start(&bed, 1, "files").await;
-    let other = Upstream::start(&bed, 2, "files").await;
-    one.join(&bed).await;
-    other.join(&bed).await;
-    for upstream in [&one, &other] {
-        wait_for("each upstream is used", READY, async || {
-            let answer = bed.request(get("/read/warm", "w", 1_000)).await;
-            answer.is_ok_and(|a| a.status == 200) && upstream.runs() > 0
-        })
-        .await;
-    }
-    (bed, one, other)
-}
-
 #[tokio::test]
 async fn a_request_is_passed_on_unchanged_and_its_answer_too() {
     let (bed, one, other) = two(1).await;
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bed::upstream::{Manner, Upstream};
-use bed::{document, get, wait_for, Bed, READY};
+use bed::{document, get, two, wait_for, Bed, READY};
 use tokio::task::JoinSet;
 
 /// Requests that may still come to an upstream that wants nothing.
@@ -17,24 +17,6 @@
 /// The bound for a key to be served again after a loss.
 const SERVED_AGAIN: Duration = Duration::from_secs(5);
 
-/// Starts a bed with two upstreams that any request may go to.
-async fn two(network: u8) -> (Bed, Upstream, Upstream) {
-    let bed = Bed::start(network).await;
-    bed.configure_first(&document(1)).await;
-    let one = Upstream::start(&bed, 1, "files").await;
-    let other = Upstream::start(&bed, 2, "files").await;
-    one.join(&bed).await;
-    other.join(&bed).await;
-    for upstream in [&one, &other] {
-        wait_for("each upstream is used", READY, async || {
-            let answer = bed.request(get("/read/warm", "w", 1_000)).await;
-            answer.is_ok_and(|a| a.status == 200) && upstream.runs() > 0
-        })
-        .await;
-    }
-    (bed, one, other)
-}
-
 /// Sends `count` requests at once and returns how many were answered with success.
 async fn burst(bed: &Bed, count: usize) -> usize {
     let callers = bed.callers();
