--- a/src/trial/placing.rs
+++ b/src/trial/placing.rs
@@ -305,23 +305,17 @@
                 let zone = host % ZONES;
                 let views = self.views[zone].iter_mut().enumerate();
                 let mine = views.filter(|(n, _)| n / 3 % ZONES == zone);
-                let estimates = mine.map(|(n, view)| {
-                    view.set_mean(mean_ms);
-                    (n, view.estimate(now), 0.0)
-                });
-                let choice = choose(estimates, || rng.random_range(0.0..1.0));
-                choice.map_or(0, |c| c.position)
+                best_of(mine, |_| mean_ms, now, rng)
             }
             Way::OwnEstimate | Way::SharedSpeeds => {
                 let mean_ms = self.means[host];
-                for (n, view) in self.views[host].iter_mut().enumerate() {
-                    let slowness = self.slowness.get(&n.to_string()).copied();
-                    view.set_mean(mean_ms * slowness.unwrap_or(1.0));
-                }
-                let views = self.views[host].iter().enumerate();
-                let estimates = views.map(|(n, view)| (n, view.estimate(now), 0.0));
-                let choice = choose(estimates, || rng.random_range(0.0..1.0));
-                choice.map_or(0, |c| c.position)
+                let slowness = &self.slowness;
+                let mean_of = |n: usize| {
+                    let slowness = slowness.get(&n.to_string()).copied();
+                    mean_ms * slowness.unwrap_or(1.0)
+                };
+                let views = self.views[host].iter_mut().enumerate();
+                best_of(views, mean_of, now, rng)
             }
         }
     }
@@ -430,3 +424,19 @@
         }
     }
 }
+
+/// Returns the best of a host's upstreams by the product's own choice; `mean_of` tells what it takes for each
+/// one's mean time of work, in milliseconds.
+fn best_of<'a>(
+    views: impl Iterator<Item = (usize, &'a mut LoadView)>,
+    mean_of: impl Fn(usize) -> f64,
+    now: Mono,
+    rng: &mut Pcg64Mcg,
+) -> usize {
+    let estimates = views.map(|(n, view)| {
+        view.set_mean(mean_of(n));
+        (n, view.estimate(now), 0.0)
+    });
+    let choice = choose(estimates, || rng.random_range(0.0..1.0));
+    choice.map_or(0, |c| c.position)
+}
