Look at an upstream once for a choice; no change of behaviour

Choosing took the lock of each upstream's load twice, once for its own word and once for the estimate that asks for that word anyway; a key's owner likewise. Peer::estimate answers both with the directory's word. The rest of an owner is worked out once.

--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -65,6 +65,13 @@
         !self.is_withdrawn.load(Ordering::Relaxed) && self.load().takes_work(now)
     }
 
+    /// Returns when a request sent now would be answered, in milliseconds; `None` while it is passed over, by
+    /// its own word, the directory's, or for its failures.
+    pub fn estimate(&self, now: Mono) -> Option<f64> {
+        let is_withdrawn = self.is_withdrawn.load(Ordering::Relaxed);
+        self.load().estimate(now).filter(|_| !is_withdrawn)
+    }
+
     /// Returns the view of its load.
     pub fn load(&self) -> MutexGuard<'_, LoadView> {
         lock(&self.load)
@@ -252,7 +259,7 @@
     }
 
     /// Returns how long upstreams of a service work on a request on average, in milliseconds.
-    pub fn work_ms(&self, service: &str) -> f64 {
+    fn work_ms(&self, service: &str) -> f64 {
         let by_service = lock(&self.work_ms);
         by_service.get(service).copied().unwrap_or(WORK_GUESS_MS)
     }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -210,12 +210,7 @@
             let picked = self.pick(call, &mut account.trail, refused_fence).await;
             let chosen = match picked {
                 Some(chosen) => chosen,
-                None if self.rest_left_ms(call) > 0 => {
-                    break Failure::refused("owner wants no work", self.rest_left_ms(call))
-                }
-                None if call.key.is_some() => {
-                    break Failure::refused("key has no owner in reach", OWNER_RETRY_AFTER_MS)
-                }
+                None if call.key.is_some() => break self.without_owner(call),
                 None => break Failure::refused("no upstream", BUSY_RETRY_AFTER_MS),
             };
             if let Err(retry_after_ms) = self.admit(call, &chosen, now) {
@@ -305,12 +300,20 @@
         let (upstream, fence) = view.owner(service, key)?;
         let peer = self.inner.peers.get(upstream, &view);
         let now = self.inner.clock.now();
-        if refused == Some(fence) || !peer.takes_work(now) || peer.load().is_ejected(now) {
+        if refused == Some(fence) || peer.estimate(now).is_none() {
             return None;
         }
         Some(self.choose_peer(peer, fence, now))
     }
 
+    /// Tells a caller whose key has no owner that takes work when to come back.
+    fn without_owner(&self, call: &Call<'_>) -> Failure {
+        match self.rest_left_ms(call) {
+            0 => Failure::refused("key has no owner in reach", OWNER_RETRY_AFTER_MS),
+            left_ms => Failure::refused("owner wants no work", left_ms),
+        }
+    }
+
     /// Returns for how long the owner of a request's key wants no work, in milliseconds.
     fn rest_left_ms(&self, call: &Call<'_>) -> u64 {
         let view = self.inner.view.borrow().clone();
@@ -332,9 +335,11 @@
             .collect();
         let answer_kib = self.answer_kib(&call.route.name);
         let views = peers.iter().enumerate().map(|(n, peer)| {
-            let takes_work = peer.takes_work(now);
-            let estimate = peer.load().estimate(now).filter(|_| takes_work);
-            (n, estimate, self.way_cost_ms(&peer.zone, answer_kib))
+            (
+                n,
+                peer.estimate(now),
+                self.way_cost_ms(&peer.zone, answer_kib),
+            )
         });
         let mut rng = rand::rng();
         let choice = choose(views, || rng.random_range(0.0..1.0))?;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -105,11 +105,6 @@
         self.ready.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns what is known of an upstream, whether it takes work or not.
-    pub fn upstream(&self, id: &str) -> Option<&Upstream> {
-        self.upstreams.get(id)
-    }
-
     /// Tells whether an upstream of that id is known.
     pub fn has_upstream(&self, id: &str) -> bool {
         self.upstreams.contains_key(id)
