Test that a request chosen for an upstream that left meanwhile isn't sent

The second look right before sending had no test of its own. Without the look the test fails: the request is answered by the upstream that the directory said leaves.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -2,10 +2,24 @@
 
 mod bed;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use assert_matches::assert_matches;
 use bed::upstream::{Manner, Upstream};
 use bed::{document, get, two, wait_for, Bed, READY};
+use carobreel::clock::Clock;
+use carobreel::daemon::silent;
+use carobreel::directory::ask::Update;
+use carobreel::directory::model::{self, Incarnation, Phase, Repeat};
+use carobreel::directory::state::Versions;
+use carobreel::event::Recorder;
+use carobreel::gateway::attempt::{Attempt, Exchange};
+use carobreel::gateway::metrics::Metrics;
+use carobreel::gateway::peer::Peers;
+use carobreel::gateway::view::View;
+use carobreel::pace::LinkPacers;
+use carobreel::platform::headers::Headers;
 use tokio::task::JoinSet;
 
 /// Requests that may still come to an upstream that wants nothing.
@@ -142,3 +156,58 @@
         .await;
     }
 }
+
+/// A directory's word of one upstream.
+fn update(known: &model::Upstream, version: u64) -> Update {
+    Update {
+        versions: Versions {
+            upstreams: version,
+            ..Versions::default()
+        },
+        upstreams: vec![known.clone()],
+        ..Update::default()
+    }
+}
+
+#[tokio::test]
+async fn a_request_chosen_for_an_upstream_that_left_meanwhile_isn_t_sent() {
+    let bed = Bed::start(65).await;
+    let upstream = Upstream::start(&bed, 1, "files").await;
+    let ready = model::Upstream {
+        incarnation: Incarnation {
+            id: upstream.id.clone(),
+            born_ms: 1,
+        },
+        service: "files".to_string(),
+        address: upstream.address,
+        zone: "a".to_string(),
+        slots: 3,
+        phase: Phase::Ready,
+    };
+    let recorder = Recorder::new("e1", silent());
+    let peers = Peers::new(recorder, Arc::new(Metrics::new()), LinkPacers::default());
+    let clock = Clock::start();
+    let view = View::default().updated(update(&ready, 1), clock.now());
+    let peer = peers.get(&ready, &view);
+    let exchange = || Exchange {
+        method: hyper::Method::GET,
+        uri: "/read/x".parse().unwrap(),
+        headers: Default::default(),
+        body: Default::default(),
+        id: None,
+        repeat: Repeat::Idempotent,
+        left_ms: 1_000,
+        way_ms: 0,
+    };
+    let answer = exchange().run(&peer, &peers, &Headers, &clock).await;
+    assert_matches!(answer, Attempt::Answer(_));
+    // The choice was made; now the directory says that the upstream leaves.
+    let draining = model::Upstream {
+        phase: Phase::Draining,
+        ..ready
+    };
+    peers.retain(&view.updated(update(&draining, 2), clock.now()));
+    let answer = exchange().run(&peer, &peers, &Headers, &clock).await;
+    assert_matches!(answer, Attempt::Withdrawn);
+    assert_eq!(heads(&upstream), 1);
+}
