Tell peers of a restarted process that their connections are gone

Callers saw: entry hosts went on with an older configuration for up to 2.2 s after a newer one was decided, since they waited for an answer of a directory process that had lost power 2.3 s before. Cause: packets of earlier connections were dropped instead of being answered with a stateless reset. The reset's key outlives a restart, but connection ids were checked against a key drawn anew by each process, so that ids given out before the restart weren't recognized. The test failed before (the request waits on) and passes now; it fails again when the generator's key is left out. Why it works: the key of connection ids comes from the address too; the next packet of a peer, a keep-alive at the latest, is answered by a reset, and whatever waits on the connection fails at once.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -11,6 +11,7 @@
 use error_stack::{Report, ResultExt};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{EndpointConfig, IdleTimeout, RecvStream, SendStream, TransportConfig, VarInt};
+use quinn_proto::HashedConnectionIdGenerator;
 
 use crate::event::{Event, Recorder};
 use crate::keys::Tls;
@@ -419,7 +420,14 @@
         return Ok(EndpointConfig::default());
     }
     let key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, address.to_string().as_bytes());
-    Ok(EndpointConfig::new(Arc::new(key)))
+    let mut id_key = [0; size_of::<u64>()];
+    let signed = ring::hmac::sign(&key, b"connection ids");
+    id_key.copy_from_slice(&signed.as_ref()[..size_of::<u64>()]);
+    let mut config = EndpointConfig::new(Arc::new(key));
+    // Packets of earlier connections are answered only where their ids are recognized.
+    let id_key = u64::from_le_bytes(id_key);
+    config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(id_key)));
+    Ok(config)
 }
 
 fn transport_config() -> TransportConfig {
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -1,6 +1,7 @@
 //! Connections between processes: how many are opened, and when one is given up.
 
 use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,10 +16,13 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 fn endpoint(name: &str) -> Endpoint {
+    endpoint_at(name, "127.0.0.1:0".parse().unwrap())
+}
+
+fn endpoint_at(name: &str, address: SocketAddr) -> Endpoint {
     let tls = keys::unverified().unwrap();
     let recorder = Recorder::new(name, silent());
-    let any = "127.0.0.1:0".parse().unwrap();
-    Endpoint::bind(any, BTreeMap::new(), &tls, recorder).unwrap()
+    Endpoint::bind(address, BTreeMap::new(), &tls, recorder).unwrap()
 }
 
 /// Answers each request after `delay_ms`.
@@ -89,3 +93,81 @@
     client.call(&host, Request::Ping, PATIENCE).await.unwrap();
     assert_eq!(client.dialled().opened, 1);
 }
+
+/// A process on a thread of its own, which can end as by a loss of power: nothing is sent at its end.
+struct Process {
+    runtime: tokio::runtime::Runtime,
+    host: SocketAddr,
+}
+
+impl Process {
+    /// Starts a process at `host`, which answers each request after `delay`.
+    fn start(host: &str, delay: Duration) -> Process {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let host = host.parse().unwrap();
+        let bound = runtime.block_on(async move {
+            let server = endpoint_at("s", host);
+            let delay_ms = Arc::new(AtomicU64::new(delay.as_millis() as u64));
+            serve(&server, delay_ms);
+            server.local_address().unwrap()
+        });
+        Process {
+            runtime,
+            host: bound,
+        }
+    }
+
+    /// Ends it, and starts it again at its address.
+    async fn restart(self, delay: Duration) -> Process {
+        self.runtime.shutdown_background();
+        let host = self.host;
+        let end = tokio::time::Instant::now() + PATIENCE;
+        while UdpSocket::bind(host).is_err() {
+            assert!(tokio::time::Instant::now() < end, "the address stays taken");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let host = host.to_string();
+        tokio::task::spawn_blocking(move || Process::start(&host, delay))
+            .await
+            .unwrap()
+    }
+}
+
+/// Returns a loopback address that is free now.
+fn free_address() -> String {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap().to_string()
+}
+
+/// A process that was started again is known to be another one within the time in which a peer says something
+/// at least, and a round trip.
+const KNOWN_AFTER: Duration = Duration::from_millis(1_200);
+
+#[tokio::test]
+async fn a_request_to_a_process_that_was_started_again_fails_at_once() {
+    let host = free_address();
+    let never = PATIENCE * 10;
+    let address = host.clone();
+    let first = tokio::task::spawn_blocking(move || Process::start(&address, never));
+    let first = first.await.unwrap();
+    let client = endpoint("c");
+    let asking = client.clone();
+    let asked = tokio::spawn(async move { asking.call(&host, Request::Ping, PATIENCE).await });
+    let end = tokio::time::Instant::now() + PATIENCE;
+    while client.dialled().opened == 0 {
+        assert!(tokio::time::Instant::now() < end, "no connection");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let second = first.restart(Duration::ZERO).await;
+    let answer = tokio::time::timeout(KNOWN_AFTER, asked).await;
+    let e = answer.expect("still waits").unwrap().unwrap_err();
+    assert_eq!(*e.current_context(), TransportError::Lost);
+    let host = second.host.to_string();
+    client.call(&host, Request::Ping, PATIENCE).await.unwrap();
+    second.runtime.shutdown_background();
+}
