Count a process's silence from what was last heard of it

Cause: silence was looked for in fixed turns of 1,200 ms. The confirmation of the request itself fell into the first one, so that a second whole turn had to pass. Change: what arrives is looked at every 100 ms, and the patience runs from the last time. Keep-alives go out twice as often, so that two of them fit into it.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -26,7 +26,8 @@
 
 /// A connection without any answer for this long is given up, in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 3_000;
-const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
+/// Two of these fit into the shortest time after which a silent process is given up by those who ask it.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
 /// Between two answers to packets of connections that ended with an earlier process at the same address.
 /// Hundreds of peers send theirs at once, and each answer is shorter than its packet.
 const RESET_INTERVAL: Duration = Duration::ZERO;
@@ -37,6 +38,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A connection isn't given up for a shorter silence than this: four round trips between regions.
 const SILENCE_LEAST: Duration = Duration::from_millis(300);
+/// Between two looks at whether anything arrived from a process whose answer is awaited.
+const HEARD_EVERY: Duration = Duration::from_millis(100);
 /// Streams that one peer may have open at once.
 const STREAMS_MAX: u32 = 4_096;
 /// Streams of control messages go ahead of traffic on the same connection.
@@ -179,8 +182,8 @@
         self.call_while_heard(host, request, timeout, timeout).await
     }
 
-    /// The same, but goes on waiting, up to `limit`, as long as something arrives within each
-    /// `patience`: the answer may be on its way on a narrow link.
+    /// The same, but goes on waiting, up to `limit`, until nothing has arrived for `patience`: the answer may be
+    /// on its way on a narrow link.
     pub async fn call_while_heard(
         &self,
         host: &str,
@@ -191,9 +194,9 @@
         let mut watch = self.watch(host);
         let exchange = self.exchange(host, request);
         tokio::pin!(exchange);
-        let mut waited = Duration::ZERO;
+        let (mut waited, mut silent) = (Duration::ZERO, Duration::ZERO);
         loop {
-            let turn = patience.min(limit - waited);
+            let turn = HEARD_EVERY.min(patience - silent).min(limit - waited);
             if let Ok(result) = tokio::time::timeout(turn, &mut exchange).await {
                 return result;
             }
@@ -201,15 +204,21 @@
             if watch.connection.is_none() {
                 watch.connection = self.open_connection(host);
             }
-            let has_heard = watch.has_heard();
-            if !has_heard && waited >= SILENCE_LEAST {
+            silent = match watch.has_heard() {
+                true => Duration::ZERO,
+                false => silent + turn,
+            };
+            if silent < patience && waited < limit {
+                continue;
+            }
+            // What arrived before the last pause says nothing of one that long.
+            let is_silent = silent == waited || silent >= patience;
+            if is_silent && silent >= SILENCE_LEAST {
                 if let Some(connection) = &watch.connection {
                     self.drop_connection(host, connection);
                 }
             }
-            if !has_heard || waited >= limit {
-                return Err(Report::new(TransportError::Timeout));
-            }
+            return Err(Report::new(TransportError::Timeout));
         }
     }
 
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -199,3 +199,28 @@
     assert_eq!(late.count(), 0, "of {PEERS} peers");
     second.runtime.shutdown_background();
 }
+
+#[tokio::test]
+async fn a_process_that_ends_after_it_confirmed_a_request_is_given_up_after_one_patience() {
+    let patience = Duration::from_secs(1);
+    let host = free_address();
+    let address = host.clone();
+    let server = tokio::task::spawn_blocking(move || Process::start(&address, PATIENCE * 10));
+    let server = server.await.unwrap();
+    let client = endpoint("c");
+    let asking = client.clone();
+    let began = tokio::time::Instant::now();
+    let asked = tokio::spawn(async move {
+        let call = asking.call_while_heard(&host, Request::Ping, patience, PATIENCE);
+        call.await.map_err(|e| *e.current_context())
+    });
+    while client.dialled().opened == 0 {
+        assert!(began.elapsed() < PATIENCE, "no connection");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let ended = tokio::time::Instant::now();
+    server.runtime.shutdown_background();
+    assert_eq!(asked.await.unwrap().unwrap_err(), TransportError::Timeout);
+    assert!(ended.elapsed() < patience * 3 / 2, "{:?}", ended.elapsed());
+}
