Acknowledge a configuration once entry hosts have it, within half a second

Cause: a configuration was acknowledged as soon as it was committed; only leaving upstreams waited for entry hosts, and a leader that had just been elected took its empty list of followers for all of them. Change: one way for both kinds of change: the answer waits until all hosts that follow have it, 500 ms at most (leaving upstreams waited 700 ms before, as long as a forwarded request was awaited, so that the way and the commit always made such a one fail). A leader counts its followers as complete 1.5 s after its election. A configuration that is sent again waits alike.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -47,8 +47,8 @@
 const HEARD_EVERY_MS: u64 = 200;
 /// Requests, messages and results that are taken at once, before heartbeats are looked at again.
 const STEPS_MAX: usize = 256;
-/// The leader's answer is awaited this long.
-pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
+/// The leader's answer is awaited this long: it may wait half a second for entry hosts to know of a change.
+pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
 /// A failed data folder is opened again after this long.
 const REOPEN_AFTER: Duration = Duration::from_millis(300);
 /// Between two wishes of a replica to be taken into the log.
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -24,7 +24,7 @@
 use super::model::{Phase, Upstream};
 use super::packing::{decode, encode};
 use super::state::{Command, State, Versions};
-use parts::{Follower, Lead, Leaving, Waiting};
+use parts::{Change, Follower, Lead, Spreading, Waiting};
 pub use parts::{Output, Start, Step};
 
 /// The name of this log in events and messages.
@@ -42,9 +42,12 @@
 const UPDATES_AT_ONCE: u64 = 64;
 /// Between two looks at what is to be granted, in milliseconds.
 const LEND_EVERY_MS: u64 = 40;
-/// An upstream that leaves has its answer after this long even if an entry host doesn't know of it yet, in
-/// milliseconds: it asks another replica after a second.
-const LEAVING_ANSWER_MS: u64 = 700;
+/// A change is acknowledged after this long even if an entry host doesn't know of it yet, in milliseconds:
+/// whoever waits for it asks another replica after a second, and the way and the log take some of that.
+const SPREAD_MS: u64 = 500;
+/// A new leader has heard of all entry hosts after this long, in milliseconds: they look for it at once and
+/// ask again after [`FOLLOW_HOLD_MOST_MS`] at most.
+const GATHER_MS: u64 = 1_500;
 /// An entry host that hasn't asked for this long isn't counted, in milliseconds.
 const FOLLOWER_GONE_MS: u64 = 3_000;
 /// An upstream that hasn't been heard of for this long is forgotten, in milliseconds.
@@ -183,11 +186,8 @@
                     if upstream.phase == Phase::Ready {
                         self.output.replies.push((token, Reply::Done));
                     } else {
-                        lead.leaving.push(Leaving {
-                            token,
-                            index: self.state.changed_at(&upstream.incarnation.id),
-                            answer_by: now.plus(LEAVING_ANSWER_MS),
-                        });
+                        let changed_at = self.state.changed_at(&upstream.incarnation.id);
+                        lead.spread(Change::Upstreams(changed_at), token, now);
                     }
                     return;
                 }
@@ -200,9 +200,9 @@
                 return self.propose(command, token, now);
             }
             Ask::Configure(stored) => {
-                if stored.config.version <= self.state.config_version() {
-                    self.output.replies.push((token, Reply::Done));
-                    return;
+                let version = stored.config.version;
+                if version <= self.state.config_version() {
+                    return lead.spread(Change::Config(version), token, now);
                 }
                 let command = Command::Configure(stored.clone());
                 return self.propose(command, token, now);
@@ -231,7 +231,7 @@
             } => {
                 let follower = Follower {
                     asked_at: now,
-                    upstreams: have.upstreams,
+                    have: *have,
                 };
                 lead.followers.insert(host.clone(), follower);
                 // One that asks again has given up its former request.
@@ -322,13 +322,16 @@
     fn apply(&mut self, entry: Entry, now: Mono) {
         assert_eq!(entry.index, self.applied + 1, "entries apply in order");
         self.applied = entry.index;
-        let mut leaves = false;
+        let mut change = None;
         if let Payload::Command(bytes) = &entry.payload {
             let command: Command = decode(bytes).expect("committed commands decode");
-            leaves = match &command {
-                Command::Register(upstream) => upstream.phase != Phase::Ready,
-                Command::Deregister(_) => true,
-                _ => false,
+            change = match &command {
+                Command::Register(upstream) if upstream.phase != Phase::Ready => {
+                    Some(Change::Upstreams(entry.index))
+                }
+                Command::Deregister(_) => Some(Change::Upstreams(entry.index)),
+                Command::Configure(stored) => Some(Change::Config(stored.config.version)),
+                _ => None,
             };
             let leads = self.lead.is_some();
             // What was stored before the start was told of then.
@@ -353,12 +356,8 @@
         };
         if term != entry.term {
             self.output.replies.push((token, Reply::NotLeader(None)));
-        } else if leaves {
-            lead.leaving.push(Leaving {
-                token,
-                index: entry.index,
-                answer_by: now.plus(LEAVING_ANSWER_MS),
-            });
+        } else if let Some(change) = change {
+            lead.spread(change, token, now);
         } else {
             self.output.replies.push((token, Reply::Done));
         }
@@ -384,6 +383,7 @@
         let heard = self.state.upstreams.keys();
         self.lead = Some(Lead {
             term,
+            elected_at,
             lessor: Lessor::new(self.hold_ms, elected_at),
             lent_at: Mono(0),
             lend_pending: 0,
@@ -392,7 +392,7 @@
             rounds: VecDeque::new(),
             lease_until: Mono(0),
             followers: BTreeMap::new(),
-            leaving: Vec::new(),
+            spreading: Vec::new(),
             allowance: 0,
             answered_at: elected_at,
             heard: heard.map(|id| (id.clone(), elected_at)).collect(),
@@ -406,10 +406,10 @@
             term: lead.term,
         });
         let waiting = lead.waiting.into_iter().map(|w| w.token);
-        let leaving = lead.leaving.into_iter().map(|l| l.token);
+        let spreading = lead.spreading.into_iter().map(|s| s.token);
         let proposed = lead.proposals.into_values().map(|(_, token)| token);
         let leader = self.leader_host();
-        for token in waiting.chain(proposed).chain(leaving) {
+        for token in waiting.chain(proposed).chain(spreading) {
             let reply = Reply::NotLeader(leader.clone());
             self.output.replies.push((token, reply));
         }
--- a/src/directory/replica/lead.rs
+++ b/src/directory/replica/lead.rs
@@ -2,6 +2,23 @@
 
 use super::*;
 
+impl<T> Lead<T> {
+    /// Has a change that is in the log acknowledged once entry hosts know of it.
+    pub(super) fn spread(&mut self, change: Change, token: T, now: Mono) {
+        self.spreading.push(Spreading {
+            token,
+            change,
+            answer_by: now.plus(SPREAD_MS),
+        });
+    }
+
+    /// Tells whether all entry hosts that follow know of a change, as far as this leader can tell yet.
+    fn is_known(&self, change: Change, now: Mono) -> bool {
+        now.since(self.elected_at) >= GATHER_MS
+            && self.followers.values().all(|f| change.is_in(&f.have))
+    }
+}
+
 impl<S: Store, T> Replica<S, T> {
     /// Works out until when no other replica can have been elected: a majority answered a heartbeat
     /// and gives no vote for the election interval from then on.
@@ -78,13 +95,11 @@
         };
         lead.followers
             .retain(|_, f| now.since(f.asked_at) < FOLLOWER_GONE_MS);
-        let known_to = lead.followers.values().map(|f| f.upstreams).min();
-        for leaving in std::mem::take(&mut lead.leaving) {
-            let is_known = known_to.is_none_or(|index| index >= leaving.index);
-            if is_known || now >= leaving.answer_by {
-                self.output.replies.push((leaving.token, Reply::Done));
+        for spreading in std::mem::take(&mut lead.spreading) {
+            if lead.is_known(spreading.change, now) || now >= spreading.answer_by {
+                self.output.replies.push((spreading.token, Reply::Done));
             } else {
-                lead.leaving.push(leaving);
+                lead.spreading.push(spreading);
             }
         }
         let is_sure = now < lead.lease_until;
--- a/src/directory/replica/parts.rs
+++ b/src/directory/replica/parts.rs
@@ -9,6 +9,7 @@
 use super::super::ask::{Ask, Reply};
 use super::super::lessor::{Call, CallResult, Lessor};
 use super::super::membership::Roster;
+use super::super::state::Versions;
 
 /// What a step hands out.
 #[derive(Debug)]
@@ -61,15 +62,34 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Follower {
     pub(super) asked_at: Mono,
-    /// The version of the upstreams that it has.
-    pub(super) upstreams: u64,
+    /// What it has.
+    pub(super) have: Versions,
 }
 
-/// An upstream's word that it leaves, which is in the log.
+/// A change that entry hosts have to know of.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Change {
+    /// Upstreams, by the entry that changed them.
+    Upstreams(u64),
+    /// The configuration, by its number.
+    Config(u64),
+}
+
+impl Change {
+    /// Tells whether a host with these versions knows of it.
+    pub(super) fn is_in(self, have: &Versions) -> bool {
+        match self {
+            Change::Upstreams(index) => have.upstreams >= index,
+            Change::Config(version) => have.config >= version,
+        }
+    }
+}
+
+/// A change that is in the log and is acknowledged once entry hosts know of it.
 #[derive(Debug)]
-pub(super) struct Leaving<T> {
+pub(super) struct Spreading<T> {
     pub(super) token: T,
-    pub(super) index: u64,
+    pub(super) change: Change,
     pub(super) answer_by: Mono,
 }
 
@@ -77,6 +97,7 @@
 #[derive(Debug)]
 pub(super) struct Lead<T> {
     pub(super) term: u64,
+    pub(super) elected_at: Mono,
     pub(super) lessor: Lessor,
     pub(super) lent_at: Mono,
     pub(super) lend_pending: u64,
@@ -85,8 +106,8 @@
     pub(super) rounds: VecDeque<(u64, Mono)>,
     pub(super) lease_until: Mono,
     pub(super) followers: BTreeMap<String, Follower>,
-    /// Upstreams that leave, to be acknowledged once entry hosts know.
-    pub(super) leaving: Vec<Leaving<T>>,
+    /// Changes to be acknowledged once entry hosts know of them.
+    pub(super) spreading: Vec<Spreading<T>>,
     /// What may be sent to followers now, in thousandths of an update without news.
     pub(super) allowance: u64,
     pub(super) answered_at: Mono,
--- a/tests/model/entry.rs
+++ b/tests/model/entry.rs
@@ -102,9 +102,14 @@
         }
     }
 
-    pub(super) fn check_version(&mut self, version: u64) {
+    /// Returns how many entry hosts have an older configuration than that version.
+    pub(super) fn hosts_lacking(&self, version: u64) -> usize {
         let lacks = |e: &&EntryHost| e.view.versions.config < version;
-        let count = self.entries.iter().filter(lacks).count();
+        self.entries.iter().filter(lacks).count()
+    }
+
+    pub(super) fn check_version(&mut self, version: u64) {
+        let count = self.hosts_lacking(version);
         if count > 0 {
             self.late.push((version, count));
         }
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -96,6 +96,8 @@
     pub late: Vec<(u64, usize)>,
     /// Entry hosts that didn't know of a leaving upstream when it was acknowledged.
     pub uninformed: usize,
+    /// Configurations that entry hosts lacked when it was acknowledged, with how many.
+    pub ahead: Vec<(u64, usize)>,
     /// Calls to upstreams that wait for an answer, now and at most.
     pub calls_open: usize,
     pub calls_open_most: usize,
@@ -132,6 +134,7 @@
             load,
             late: Vec::new(),
             uninformed: 0,
+            ahead: Vec::new(),
             calls_open: 0,
             calls_open_most: 0,
             entries: (0..load.entry_hosts)
@@ -458,6 +461,10 @@
         match (question, reply) {
             (Question::Configure(version), Reply::Done) => {
                 self.acked_version = self.acked_version.max(version);
+                let lacking = self.hosts_lacking(version);
+                if lacking > 0 {
+                    self.ahead.push((version, lacking));
+                }
                 self.push(entry::IN_FORCE_MS, Event::CheckVersion(version));
             }
             (Question::Follow(n, turn), reply) => self.followed(n, turn, reply),
--- a/tests/scale/mod.rs
+++ b/tests/scale/mod.rs
@@ -148,3 +148,18 @@
         assert_eq!(world.uninformed, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn a_configuration_is_acknowledged_once_every_entry_host_has_it() {
+    for seed in 0..3 {
+        let mut world = started(seed, Some(SHARE));
+        world.ahead.clear();
+        let before = world.acked_version;
+        for round in 0..12 {
+            world.configure(round % 4);
+            world.run(700);
+        }
+        assert!(world.acked_version > before, "seed {seed}");
+        assert!(world.ahead.is_empty(), "seed {seed}: {:?}", world.ahead);
+    }
+}
