Let keys rest at their new owner before they change hands again

Callers saw: keys without an owner in reach for some 150 ms at each of hundreds of moves, of which many were undone at once. Cause: two planners that undo each other. Keys given to an upstream with little load are few and idle by the one-second count, so that the other planner gave them to their neighbour, the former owner; and a donor's remainder, measured before its load settled, was passed on by owners whose excess was chance. Change: keys that were moved rest: for 8 s from neighbours, for 2 s from being passed on, unless by an owner whose load can't be chance, and then not back to the former one.

--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -155,6 +155,17 @@
     pub receiver: Option<Incarnation>,
 }
 
+/// Keys that were moved a moment ago.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resting {
+    /// The first key.
+    pub from: Key,
+    /// The last key.
+    pub to: Key,
+    /// The owner that they were taken from.
+    pub former: Incarnation,
+}
+
 /// What one planning round looks at.
 #[derive(Debug)]
 pub struct Plan<'a> {
@@ -168,6 +179,9 @@
     pub owners: &'a BTreeSet<Incarnation>,
     /// Keys that are changing hands already.
     pub moving: &'a [Moving],
+    /// Keys that were moved for their load a moment ago. They are passed on only by an owner whose load can't
+    /// be chance, and not back to the former one.
+    pub resting: &'a [Resting],
 }
 
 impl Plan<'_> {
@@ -226,7 +240,8 @@
                 break;
             }
             let gap = hot_donors.contains(&donor).then_some(high - low);
-            let Some((from, to)) = self.segment(&donor, wanted, gap, even, &chosen) else {
+            let Some((from, to)) = self.segment((&donor, &receiver), wanted, gap, even, &chosen)
+            else {
                 // This donor has nothing suitable, such as a single hot key: the next one may.
                 loads.remove(&donor);
                 if loads.len() < 2 {
@@ -329,11 +344,20 @@
         loads
     }
 
-    /// Returns the donor's keys that aren't changing hands.
-    fn free_parts(&self, donor: &Incarnation, chosen: &[Transfer]) -> Vec<(Key, Key)> {
+    /// Returns the donor's keys that aren't changing hands and may go to `receiver`.
+    fn free_parts(
+        &self,
+        donor: &Incarnation,
+        receiver: &Incarnation,
+        is_hot: bool,
+        chosen: &[Transfer],
+    ) -> Vec<(Key, Key)> {
         let moving = self.moving.iter().map(|m| (m.from, m.to));
+        let stays = |r: &&Resting| !is_hot || r.former == *receiver;
+        let resting = self.resting.iter().filter(stays).map(|r| (r.from, r.to));
         let cuts: Vec<(Key, Key)> = moving
             .chain(chosen.iter().map(|t| (t.from, t.to)))
+            .chain(resting)
             .collect();
         let ranges = self.table.ranges.values();
         ranges
@@ -342,18 +366,18 @@
             .collect()
     }
 
-    /// Finds adjacent keys of `donor` that carry about `wanted`: where it has hot keys, and is `hot_gap`
+    /// Finds adjacent keys of a donor for a receiver that carry about `wanted`: where it has hot keys, and is `hot_gap`
     /// above the receiver, as few as can be; else those at the edge of its largest range, which leave one
     /// range behind and not two.
     fn segment(
         &self,
-        donor: &Incarnation,
+        (donor, receiver): (&Incarnation, &Incarnation),
         wanted: f64,
         hot_gap: Option<f64>,
         even: f64,
         chosen: &[Transfer],
     ) -> Option<(Key, Key)> {
-        let parts = self.free_parts(donor, chosen);
+        let parts = self.free_parts(donor, receiver, hot_gap.is_some(), chosen);
         let mut best: Option<(f64, Key, Key)> = None;
         let searched = hot_gap.map_or(0, |_| parts.len());
         let gap = hot_gap.unwrap_or(0.0);
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -15,7 +15,7 @@
 use crate::clock::Mono;
 
 use super::ask::UpstreamSpeed;
-use super::balance::{KeyRates, Moving, Plan};
+use super::balance::{KeyRates, Moving, Plan, Resting};
 use super::model::{parts_outside, Incarnation, Key, KeyRange, KeyTable, Phase};
 use super::speeds::Speeds;
 use super::state::{Command, State};
@@ -51,6 +51,12 @@
 /// A single key that was moved for its load stays for this long, in milliseconds: each move costs it about
 /// 200 ms without an owner in reach, and a key too hot for any upstream looks better off elsewhere.
 const HOT_KEY_REST_MS: u64 = 2_500;
+/// Keys that changed hands aren't given to a neighbour for this long, in milliseconds: what is
+/// counted within a second says little of so few keys, and most would go back at once.
+const MOVED_REST_MS: u64 = 8_000;
+/// They aren't passed on to a further owner either for this long, in milliseconds: two half-lives of what is
+/// counted, so that their load at the new owner is known.
+const PASSED_ON_REST_MS: u64 = 2_000;
 /// The first layout waits this long for a service's upstreams to appear, in milliseconds.
 const GATHER_MS: u64 = 1_000;
 /// Ranges that each upstream gets in the first layout, where upstreams are few.
@@ -194,6 +200,13 @@
     doubtful_until: Mono,
 }
 
+/// Keys that were moved a moment ago.
+#[derive(Clone, Debug)]
+struct Moved {
+    former: Incarnation,
+    at: Mono,
+}
+
 /// The version of the table of owners, and which keys are changing hands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Layout {
@@ -249,6 +262,8 @@
     has_drawn_fences: bool,
     /// Single keys that were moved for their load, with when.
     moved_alone: BTreeMap<(String, Key), Mono>,
+    /// Keys that were moved for their load or to a neighbour, by service, first and last key.
+    moved: BTreeMap<(String, Key, Key), Moved>,
 }
 
 impl Lessor {
@@ -276,6 +291,7 @@
             proposed_layout: BTreeSet::new(),
             has_drawn_fences: false,
             moved_alone: BTreeMap::new(),
+            moved: BTreeMap::new(),
         }
     }
 
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -34,6 +34,15 @@
                 receiver: Some(owner),
             })
         }));
+        let moved = self.moved.iter().filter(|((of, ..), _)| of == service);
+        let resting: Vec<Resting> = moved
+            .filter(|(_, m)| now.since(m.at) < PASSED_ON_REST_MS)
+            .map(|((_, from, to), m)| Resting {
+                from: *from,
+                to: *to,
+                former: m.former.clone(),
+            })
+            .collect();
         let mut started: Vec<(KeyRange, Option<Incarnation>)> = Vec::new();
         for range in table.ranges.values() {
             if candidates.contains(&range.owner) {
@@ -56,6 +65,7 @@
             speeds: &self.speeds,
             owners: &candidates,
             moving: &moving,
+            resting: &resting,
         };
         let for_load = plan.transfers(room);
         let room = room - for_load.len().min(room);
@@ -64,6 +74,14 @@
         let hot = for_load.iter().filter(|t| t.from == t.to);
         let hot = hot.map(|t| ((service.to_string(), t.from), now));
         self.moved_alone.extend(hot);
+        self.moved.retain(|_, m| now.since(m.at) < MOVED_REST_MS);
+        self.moved.extend(for_load.iter().chain(&small).map(|t| {
+            let moved = Moved {
+                former: t.donor.clone(),
+                at: now,
+            };
+            ((service.to_string(), t.from, t.to), moved)
+        }));
         for transfer in for_load.into_iter().chain(small) {
             let Some(range) = table.owner_of(transfer.from) else {
                 continue;
--- a/src/directory/lessor/tidy.rs
+++ b/src/directory/lessor/tidy.rs
@@ -39,7 +39,10 @@
                 && rates.total_between(small.from, small.to) < SMALL_RATE;
             // One that arrived beside its owner's other keys is joined with them soon.
             let has_arrived = neighbours(&ranges, n).any(|r| r.owner == small.owner);
-            is_idle && !has_arrived && self.is_settled(service, small)
+            is_idle
+                && !has_arrived
+                && !self.rests(service, small)
+                && self.is_settled(service, small)
         };
         let pairs = (0..ranges.len()).filter_map(|n| {
             let takes = |r: &&KeyRange| candidates.contains(&r.owner);
@@ -71,6 +74,14 @@
         chosen
     }
 
+    /// Tells whether some of a range's keys were moved for their load a moment ago.
+    fn rests(&self, service: &str, range: &KeyRange) -> bool {
+        let first = (service.to_string(), 0, 0);
+        let last = (service.to_string(), range.to, Key::MAX);
+        let mut before = self.moved.range(first..=last);
+        before.any(|((_, _, to), _)| *to >= range.from)
+    }
+
     /// Gives neighbouring ranges of one owner a common fencing token.
     pub(super) fn join_neighbours(&self, state: &State, step: &mut Step) {
         for (service, table) in &state.owners {
--- a/tests/scale/mod.rs
+++ b/tests/scale/mod.rs
@@ -1,7 +1,11 @@
 //! The directory with as many upstreams and entry hosts as the users' grown deployments, and as small
 //! a share of a processor.
 
-use crate::model::{Load, World};
+use std::collections::BTreeMap;
+
+use carobreel::directory::model::Key;
+
+use crate::model::{Load, World, SERVICE};
 use crate::{all_keys, CALM, RECOVERY_MS, SERVED_AGAIN_MS};
 
 const UPSTREAMS: usize = 231;
@@ -13,6 +17,9 @@
 /// Calls that a leader may have open at once, whatever is due: each one is a task and often a connection,
 /// of which a descriptor and some 30 KB of 256 MB are to be spared.
 const CALLS_OPEN_MAX: usize = 128;
+/// A key that comes back to its former owner within this time was moved twice for nothing: the load that a move
+/// answers to is measured over as long, in milliseconds.
+const GIVEN_BACK_MS: u64 = 2_000;
 /// Ranges that a leader can renew: at most this many an upstream.
 const RANGES_PER_UPSTREAM: usize = 3;
 
@@ -163,3 +170,41 @@
         assert!(world.ahead.is_empty(), "seed {seed}: {:?}", world.ahead);
     }
 }
+
+#[test]
+fn keys_that_changed_hands_for_their_load_don_t_go_back_at_once() {
+    let mut world = started(7, None);
+    let mut trails: BTreeMap<Key, Vec<(u64, String)>> = BTreeMap::new();
+    for hot_from in [3_000, 20_000, 41_000, 60_000] {
+        for (hot, ms) in [(Some(hot_from), 4_000), (None, 6_000)] {
+            world.load.hot_from = hot;
+            let end = world.now + ms;
+            while world.now < end {
+                world.run(20);
+                note_owners(&world, &mut trails);
+            }
+        }
+    }
+    let changes: usize = trails.values().map(|t| t.len() - 1).sum();
+    let back = |w: &&[(u64, String)]| w[0].1 == w[2].1 && w[2].0 - w[1].0 < GIVEN_BACK_MS;
+    let returns = trails.values().flat_map(|t| t.windows(3)).filter(back);
+    let returns = returns.count();
+    assert!(changes > 0);
+    assert_eq!(returns, 0, "of {changes} changes of owner");
+}
+
+/// Notes the owner of every 16th key, where it is another one than before.
+fn note_owners(world: &World, trails: &mut BTreeMap<Key, Vec<(u64, String)>>) {
+    let Some(table) = world.leader_state().and_then(|s| s.owners.get(SERVICE)) else {
+        return;
+    };
+    for key in (0..=Key::MAX).step_by(16) {
+        let Some(range) = table.owner_of(key) else {
+            continue;
+        };
+        let trail = trails.entry(key).or_default();
+        if trail.last().is_none_or(|(_, id)| *id != range.owner.id) {
+            trail.push((world.now, range.owner.id.clone()));
+        }
+    }
+}
