Count the age of what the directory said from when it was asked

One waits up to 4.8 s for an answer, and longer where the process stands still meanwhile. Change: the leader says how long it held the request; what it says was so then, counted from when the request left. An update that changes another configuration than the one in use is logged (RoutesUnmatched) instead of being left out silently. The test (an answer that takes 3 s) got 404 before and gets 503 with Retry-After now.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Mono;
 use crate::raft::ReplicaId;
 
 use super::model::{
@@ -145,9 +146,27 @@
     pub replicas: Vec<String>,
     /// Entry hosts that follow the directory.
     pub entry_hosts: u32,
+    /// How long the leader held the request before it looked, in milliseconds.
+    pub held_ms: u64,
 }
 
 impl Update {
+    /// Returns when the leader confirmed this, at the earliest: a request that left at `asked_at` arrived no
+    /// earlier, however long the answer was on its way.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobreel::clock::Mono;
+    /// use carobreel::directory::ask::Update;
+    ///
+    /// let update = Update { held_ms: 200, ..Update::default() };
+    /// assert_eq!(update.confirmed_at(Mono(1_000)), Mono(1_200));
+    /// ```
+    pub fn confirmed_at(&self, asked_at: Mono) -> Mono {
+        asked_at.plus(self.held_ms)
+    }
+
     /// Returns about how much an update takes to send, against one without news.
     pub fn weight(&self) -> u64 {
         let routes = self.config.as_ref().map_or(0, |c| c.routes.len());
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -260,6 +260,7 @@
             ask,
             token,
             round,
+            asked_at: now,
             answer_at,
         });
     }
--- a/src/directory/replica/lead.rs
+++ b/src/directory/replica/lead.rs
@@ -133,7 +133,8 @@
                     let cost = update.weight() * 1_000;
                     lead.allowance = lead.allowance.saturating_sub(cost);
                     made = Some((*have, update.clone()));
-                    Reply::Update(Box::new(update))
+                    let held_ms = now.since(w.asked_at);
+                    Reply::Update(Box::new(Update { held_ms, ..update }))
                 }
                 _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
             };
--- a/src/directory/replica/parts.rs
+++ b/src/directory/replica/parts.rs
@@ -55,6 +55,7 @@
     pub(super) ask: Ask,
     pub(super) token: T,
     pub(super) round: u64,
+    pub(super) asked_at: Mono,
     pub(super) answer_at: Mono,
 }
 
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -201,6 +201,7 @@
             owners,
             replicas: Vec::new(),
             entry_hosts: 0,
+            held_ms: 0,
         }
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -129,6 +129,7 @@
     228 Info TrafficCounted "What an entry host did since the last such line." { over_ms: u64, answered: u64, refused: u64, failed: u64, abandoned: u64, repeats: u64, in_flight: u64, p50_ms: u64, p99_ms: u64, zone_kib: u64, region_kib: u64, far_kib: u64, reasons: String, config: u64, owners: u64, age_ms: u64 }
     229 Warning MetricsUnavailable "Metrics can't be served; the process goes on without." { address: String, reason: String }
     230 Warning DirectoryUnanswered "An entry host's request to the directory ended without an update." { asked: String, reason: String, waited_ms: u64, config: u64, age_ms: u64 }
+    231 Warning RoutesUnmatched "An entry host left a route configuration out: it changes another one than the one in use here." { version: u64, base: u64, config: u64 }
 }
 
 /// An event with its time and host.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -90,7 +90,7 @@
                 None => self.search().await,
             };
             match found {
-                Found::Update(host, update) => {
+                Found::Update(host, update, asked_at) => {
                     if leader.as_ref() != Some(&host) {
                         self.recorder.record(Event::DirectoryFollowed {
                             leader: host.clone(),
@@ -98,7 +98,7 @@
                     }
                     leader = Some(host);
                     lost_logged = false;
-                    self.publish(*update);
+                    self.publish(*update, asked_at);
                 }
                 Found::Elsewhere(host) if leader.as_ref() != Some(&host) => leader = Some(host),
                 Found::Elsewhere(_) | Found::Nothing => {
@@ -202,10 +202,17 @@
         }
     }
 
-    fn publish(&self, update: Update) {
-        let now = self.clock.now();
+    fn publish(&self, update: Update, asked_at: Mono) {
         let before = self.view.borrow().clone();
-        let next = Arc::new(before.updated(update, now));
+        let offered = update.config.as_ref().map(|c| (c.version, c.base));
+        let next = Arc::new(before.updated(update, asked_at));
+        if let Some((version, base)) = offered.filter(|o| o.0 > next.versions.config) {
+            self.recorder.record(Event::RoutesUnmatched {
+                version,
+                base: base.unwrap_or(0),
+                config: next.versions.config,
+            });
+        }
         if next.versions.config != before.versions.config {
             self.recorder.record(Event::RoutesInForce {
                 version: next.versions.config,
@@ -220,7 +227,8 @@
 }
 
 enum Found {
-    Update(String, Box<Update>),
+    /// From whom, what, and when it was asked for.
+    Update(String, Box<Update>, Mono),
     Elsewhere(String),
     Nothing,
 }
@@ -251,7 +259,7 @@
     let request = Request::Directory(ask);
     let answer = endpoint.call_while_heard(&host, request, ANSWER_TIMEOUT, ANSWER_LIMIT);
     match answer.await {
-        Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update),
+        Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update, asked_at),
         Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => Found::Elsewhere(leader),
         Ok(_) => {
             log.unanswered(&host, "no leader known", asked_at);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -29,13 +29,15 @@
     pub replicas: Vec<String>,
     /// Entry hosts that share the upstreams.
     pub entry_hosts: u32,
-    /// When the leader last confirmed this view.
+    /// When the leader last confirmed this view, at the earliest.
     pub confirmed_at: Mono,
 }
 
 impl View {
-    /// Returns the view after an update. A configuration older than the one in force is left out.
-    pub fn updated(&self, update: Update, now: Mono) -> View {
+    /// Returns the view after an update that was asked for at `asked_at`. A configuration older than the one in
+    /// force is left out.
+    pub fn updated(&self, update: Update, asked_at: Mono) -> View {
+        let confirmed_at = update.confirmed_at(asked_at);
         let mut next = self.clone();
         let config = update.config.as_ref();
         let newer = config.filter(|c| c.version > self.versions.config);
@@ -75,7 +77,7 @@
         next.versions.owners = update.versions.owners;
         next.replicas = update.replicas;
         next.entry_hosts = update.entry_hosts.max(1);
-        next.confirmed_at = now;
+        next.confirmed_at = confirmed_at.max(self.confirmed_at);
         next
     }
 
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -50,17 +50,30 @@
 
     /// Starts a replica and a gateway with a link of so many megabits a second.
     pub async fn start_on(network: u8, link_mbps: Option<f64>) -> Bed {
+        Bed::start_with(network, link_mbps, 1).await
+    }
+
+    /// Starts a replica that never leads, since the two other founders don't start, and a gateway.
+    pub async fn leaderless(network: u8) -> Bed {
+        Bed::start_with(network, None, 3).await
+    }
+
+    async fn start_with(network: u8, link_mbps: Option<f64>, founders: u8) -> Bed {
         let folder = tempfile::tempdir().unwrap();
         let clock = Clock::start();
         let recorder = Recorder::new("c1", silent());
         let address = at(network, 1, PEER_PORT);
         let settings = Settings {
             address,
-            seeds: Arc::new(Mutex::new(vec![address])),
+            seeds: Arc::new(Mutex::new(
+                (0..founders)
+                    .map(|n| at(network, 1 + 100 * n, PEER_PORT))
+                    .collect(),
+            )),
             first_start: true,
             data_folder: folder.path().to_path_buf(),
             hold_ms: 2_500,
-            voters: 1,
+            voters: founders as usize,
         };
         let tls = keys::unverified().unwrap();
         let calls = KeyClient::new(clock);
@@ -72,21 +85,12 @@
         let mut recorders = vec![recorder.clone()];
         let router = api::router(directory.handle(), recorder);
         tokio::spawn(async move { axum::serve(listener, router).await });
-        let text = json!({
-            "host": "e1", "zone": "a", "zones": { "a": "north" },
-            "peer_address": at(network, 2, PEER_PORT).to_string(),
-            "callers": at(network, 2, CALLERS_PORT).to_string(),
-            "readiness": at(network, 2, READINESS_PORT).to_string(),
-            "seeds": [at(network, 1, OPERATORS_PORT).to_string()],
-            "retry_ratio": 0.2, "retry_slack": 50, "link_mbps": link_mbps,
-        });
-        let host = HostSettings::parse(&text.to_string()).unwrap();
         let recorder = Recorder::new("e1", silent());
         recorders.push(recorder.clone());
-        let gateway = Gateway::spawn(&host, &tls, Headers, clock, recorder);
+        let gateway = start_gateway(network, link_mbps, recorder).await;
         Bed {
             network,
-            gateway: Some(gateway.await.unwrap()),
+            gateway: Some(gateway),
             directory: Some(directory),
             recorders,
             _folder: folder,
@@ -186,6 +190,26 @@
     (bed, one, other)
 }
 
+/// Starts the gateway of a network.
+pub async fn start_gateway(
+    network: u8,
+    link_mbps: Option<f64>,
+    recorder: Recorder,
+) -> Gateway<Headers> {
+    let text = json!({
+        "host": "e1", "zone": "a", "zones": { "a": "north" },
+        "peer_address": at(network, 2, PEER_PORT).to_string(),
+        "callers": at(network, 2, CALLERS_PORT).to_string(),
+        "readiness": at(network, 2, READINESS_PORT).to_string(),
+        "seeds": [at(network, 1, OPERATORS_PORT).to_string()],
+        "retry_ratio": 0.2, "retry_slack": 50, "link_mbps": link_mbps,
+    });
+    let host = HostSettings::parse(&text.to_string()).unwrap();
+    let tls = keys::unverified().unwrap();
+    let gateway = Gateway::spawn(&host, &tls, Headers, Clock::start(), recorder);
+    gateway.await.unwrap()
+}
+
 fn at(network: u8, host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 77, network, host], port))
 }
--- /dev/null
+++ b/tests/following.rs
@@ -0,0 +1,84 @@
+//! What an entry host believes of the directory's answers.
+
+mod bed;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bed::{get, start_gateway, wait_for, READY};
+use carobreel::daemon::silent;
+use carobreel::directory::ask::{Ask, ConfigUpdate, Reply, Update};
+use carobreel::directory::state::Versions;
+use carobreel::event::Recorder;
+use carobreel::keys;
+use carobreel::transport::{Endpoint, Incoming};
+use carobreel::wire::{Request, Response};
+
+/// Longer than a configuration may be out of force after it was acknowledged.
+const ON_ITS_WAY: Duration = Duration::from_millis(3_000);
+
+/// A leader whose answers, all but the first, are long on their way: what they say was so when they left.
+fn serve_late(address: SocketAddr) {
+    let tls = keys::unverified().unwrap();
+    let recorder = Recorder::new("leader", silent());
+    let endpoint = Endpoint::bind(address, BTreeMap::new(), &tls, recorder).unwrap();
+    let is_found = Arc::new(AtomicBool::new(false));
+    tokio::spawn(async move {
+        let answering = endpoint.clone();
+        let serve = move |incoming: Incoming| {
+            let (endpoint, is_found) = (answering.clone(), is_found.clone());
+            async move {
+                let (Request::Directory(Ask::Follow { .. }), Some(mut tx)) =
+                    (incoming.request, incoming.tx)
+                else {
+                    return;
+                };
+                let update = Update {
+                    versions: Versions {
+                        config: 1,
+                        ..Versions::default()
+                    },
+                    config: Some(ConfigUpdate {
+                        version: 1,
+                        base: None,
+                        routes: Vec::new(),
+                        removed: Vec::new(),
+                        services: BTreeMap::new(),
+                        limits: Default::default(),
+                    }),
+                    ..Update::default()
+                };
+                let update = match is_found.swap(true, Ordering::SeqCst) {
+                    true => update,
+                    false => Update::default(),
+                };
+                if update.config.is_some() {
+                    tokio::time::sleep(ON_ITS_WAY).await;
+                }
+                let response = Response::Directory(Reply::Update(Box::new(update)));
+                endpoint.answer(&mut tx, response).await.ok();
+            }
+        };
+        endpoint.accept(serve).await;
+    });
+}
+
+#[tokio::test]
+async fn an_answer_that_was_long_on_its_way_doesn_t_make_a_configuration_certain() {
+    let network = 72;
+    serve_late(SocketAddr::from(([127, 77, network, 1], 21_700)));
+    let _gateway = start_gateway(network, None, Recorder::new("e1", silent())).await;
+    let callers = SocketAddr::from(([127, 77, network, 2], 21_701));
+    wait_for("the answer is there", READY, async || {
+        let call = get("/added/later", "u", 1_000).header("host", "one.example");
+        let Ok(answer) = carobreel::http::send(callers, call).await else {
+            return false;
+        };
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        answer.text() != "no configuration"
+    })
+    .await;
+}
