Have replicas connect to each other as they start

Callers saw: nothing served for about a second and a half after a return of power of everything. Cause of a part of it: connections between replicas were opened when there was something to say, which is the vote at the earliest, 600 ms after the start; the handshake takes two ways between regions and back. The test failed before (no connection within 600 ms) and passes now.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -310,6 +310,7 @@
         let mut join_at = self.clock.now().plus(ELECTION_MS);
         let mut heard_at = join_at;
         let mut steps = Vec::new();
+        self.connect(&member);
         loop {
             tokio::select! {
                 _ = stopped.changed() => return Ok(()),
@@ -351,6 +352,19 @@
         }
     }
 
+    /// Opens connections to the other replicas, so that the first votes don't wait for handshakes.
+    fn connect(&self, member: &Member) {
+        let own = member.raft().id();
+        let replicas = member.raft().membership().replicas();
+        for (_, host) in replicas.filter(|(id, _)| *id != own) {
+            let (endpoint, host) = (self.endpoint.clone(), host.clone());
+            tokio::spawn(async move {
+                // One that can't be reached yet is connected to when there is something to say.
+                let _ = endpoint.call(&host, Request::Ping, FORWARD_TIMEOUT).await;
+            });
+        }
+    }
+
     /// Returns what an input is to the replica, unless another one is to answer it.
     fn take(
         &mut self,
--- /dev/null
+++ b/tests/outage.rs
@@ -0,0 +1,65 @@
+//! How soon a directory without a leader has one again.
+
+mod bed;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bed::wait_for;
+use carobreel::clock::Clock;
+use carobreel::daemon::silent;
+use carobreel::directory::daemon::{Directory, Settings};
+use carobreel::event::Recorder;
+use carobreel::keys;
+use carobreel::platform::keys::KeyClient;
+use carobreel::transport::{Endpoint, Incoming};
+use carobreel::wire::{Request, Response};
+
+/// A replica gives no vote for this long after its start; connections are to be open by then.
+const ELECTION: Duration = Duration::from_millis(600);
+
+#[tokio::test]
+async fn a_replica_that_starts_connects_to_the_others_before_it_stands_for_election() {
+    let host = |n: u8| SocketAddr::from(([127, 0, 71, n], 21_700));
+    let tls = keys::unverified().unwrap();
+    let heard = Arc::new(AtomicUsize::new(0));
+    for n in [2, 3] {
+        let recorder = Recorder::new("peer", silent());
+        let endpoint = Endpoint::bind(host(n), BTreeMap::new(), &tls, recorder).unwrap();
+        let heard = heard.clone();
+        tokio::spawn(async move {
+            let answering = endpoint.clone();
+            let serve = move |incoming: Incoming| {
+                let (endpoint, heard) = (answering.clone(), heard.clone());
+                async move {
+                    if let (Request::Ping, Some(mut tx)) = (incoming.request, incoming.tx) {
+                        heard.fetch_add(1, Ordering::SeqCst);
+                        endpoint.answer(&mut tx, Response::Ack).await.ok();
+                    }
+                }
+            };
+            endpoint.accept(serve).await;
+        });
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let settings = Settings {
+        address: host(1),
+        seeds: Arc::new(Mutex::new(vec![host(1), host(2), host(3)])),
+        first_start: true,
+        data_folder: folder.path().to_path_buf(),
+        hold_ms: 2_500,
+        voters: 3,
+    };
+    let clock = Clock::start();
+    let recorder = Recorder::new("c1", silent());
+    let calls = KeyClient::new(clock);
+    let directory = Directory::spawn(settings, tls, calls, clock, recorder).unwrap();
+    wait_for("both are connected to", ELECTION, async || {
+        heard.load(Ordering::SeqCst) == 2
+    })
+    .await;
+    directory.stop();
+}
