Tell callers of a host without a configuration when a leader is expected

Callers saw: after a return of power of everything, refusals that told them to come back in 0.5 s, when there was no leader yet either; most callers come back once, and were refused for good. Change: once a process of the directory has said that it knows no leader, Retry-After is what is left of an election, spread over 0.3 s. A host that was started alone hears of a leader at once and says 0.5 s as before.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -30,6 +30,7 @@
 use super::follow::{Follower, KeyCounter};
 use super::intake::Intake;
 use super::ledger::{Ledger, COUNT_EVERY_MS};
+use super::outage::Outage;
 use super::peer::Peers;
 use super::protocol::Protocol;
 use super::proxy::{Inner, Proxy};
@@ -113,6 +114,7 @@
         let metrics = ledger.metrics.clone();
         let peers = Arc::new(Peers::new(recorder.clone(), metrics, link.clone()));
         let seeds = Arc::new(Mutex::new(settings.seeds.clone()));
+        let outage = Arc::new(Outage::default());
         let follower = Follower {
             host: settings.host.clone(),
             seeds: seeds.clone(),
@@ -120,6 +122,7 @@
             view: view_tx,
             counter: counter.clone(),
             peers: peers.clone(),
+            outage: outage.clone(),
             clock,
             recorder: recorder.clone(),
         };
@@ -130,6 +133,7 @@
             view: view.clone(),
             peers,
             budget: Mutex::new(RetryBudget::new(settings.retry)),
+            outage,
             counter,
             splits: Splits::default(),
             answer_kib: Mutex::default(),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,6 +15,7 @@
 use crate::transport::Endpoint;
 use crate::wire::{Request, Response};
 
+use super::outage::Outage;
 use super::peer::Peers;
 use super::view::View;
 
@@ -73,6 +74,8 @@
     pub counter: Arc<KeyCounter>,
     /// Upstreams in use.
     pub peers: Arc<Peers>,
+    /// Since when the directory has no leader.
+    pub outage: Arc<Outage>,
     /// Time.
     pub clock: Clock,
     /// Events.
@@ -91,6 +94,7 @@
             };
             match found {
                 Found::Update(host, update, asked_at) => {
+                    self.outage.end();
                     if leader.as_ref() != Some(&host) {
                         self.recorder.record(Event::DirectoryFollowed {
                             leader: host.clone(),
@@ -190,6 +194,7 @@
             recorder: self.recorder.clone(),
             clock: self.clock,
             view: self.view.subscribe(),
+            outage: self.outage.clone(),
         }
     }
 
@@ -238,6 +243,7 @@
     recorder: Recorder,
     clock: Clock,
     view: watch::Receiver<Arc<View>>,
+    outage: Arc<Outage>,
 }
 
 impl AskLog {
@@ -261,7 +267,10 @@
     match answer.await {
         Ok(Response::Directory(Reply::Update(update))) => Found::Update(host, update, asked_at),
         Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => Found::Elsewhere(leader),
-        Ok(_) => {
+        Ok(answer) => {
+            if let Response::Directory(Reply::NotLeader(None)) = answer {
+                log.outage.note_leaderless(log.clock.now());
+            }
             log.unanswered(&host, "no leader known", asked_at);
             Found::Nothing
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod journal;
 pub mod ledger;
 pub mod metrics;
+pub mod outage;
 pub mod peer;
 pub mod protocol;
 pub mod proxy;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -23,6 +23,7 @@
 use super::call::{host_of, read_body, Call, Chosen, Failure, Trail};
 use super::follow::KeyCounter;
 use super::ledger::{Account, Ledger};
+use super::outage::Outage;
 use super::peer::{Peer, Peers};
 use super::protocol::{CallerFacts, Protocol};
 use super::retry::RetryBudget;
@@ -84,6 +85,8 @@
     pub peers: Arc<Peers>,
     /// The retry budget.
     pub budget: Mutex<RetryBudget>,
+    /// Since when the directory has no leader.
+    pub outage: Arc<Outage>,
     /// Load by key, for the directory.
     pub counter: Arc<KeyCounter>,
     /// Draws services for routes that name several.
@@ -131,7 +134,9 @@
             failure.response()
         };
         if !view.is_usable() {
-            let failure = Failure::refused("no configuration", START_RETRY_AFTER_MS);
+            let left_ms = self.inner.outage.left_ms(began, rand::random());
+            let retry_after_ms = left_ms.unwrap_or(0).max(START_RETRY_AFTER_MS);
+            let failure = Failure::refused("no configuration", retry_after_ms);
             return reject(&parts, &facts, failure);
         }
         let Some(host) = host_of(&parts).map(str::to_string) else {
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -1,4 +1,4 @@
-//! How soon a directory without a leader has one again.
+//! What callers are told while the directory has no leader, and how soon it may have one.
 
 mod bed;
 
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bed::wait_for;
+use bed::{get, wait_for, Bed, READY};
 use carobreel::clock::Clock;
 use carobreel::daemon::silent;
 use carobreel::directory::daemon::{Directory, Settings};
@@ -21,6 +21,19 @@
 /// A replica gives no vote for this long after its start; connections are to be open by then.
 const ELECTION: Duration = Duration::from_millis(600);
 
+#[tokio::test]
+async fn callers_of_a_host_without_a_configuration_come_back_when_a_leader_is_expected() {
+    let bed = Bed::leaderless(70).await;
+    wait_for("callers are told of the election", READY, async || {
+        let answer = bed.request(get("/read/x", "r", 3_000)).await;
+        answer.is_ok_and(|a| {
+            let seconds = a.header("retry-after").parse::<f64>();
+            a.status == 503 && seconds.is_ok_and(|s| s > 0.7)
+        })
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_replica_that_starts_connects_to_the_others_before_it_stands_for_election() {
     let host = |n: u8| SocketAddr::from(([127, 0, 71, n], 21_700));
