Elect a leader at once when all voters were started a moment ago

Cause: a replica that was started again gives no vote for 600 ms, since before it may have answered a leader that counts on it. After a loss of power of all there is no such leader, and all wait for nothing. Change: replicas that were just started, and heard of no leader since, poll the voters. One whose log is the newest (the highest id among equals) and to whom every voter said that it was started too stands at once, and these voters vote. If one voter stays silent, as one that wasn't restarted does, everything is as before. A folder that is opened again within a process doesn't poll: calls of its former replica may be under way. The test of restarts in policies looked for any message before 600 ms and looks for requests for votes now: polls are messages too, and change nothing at their receivers.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -225,8 +225,9 @@
             };
             endpoint.accept(serve).await;
         });
+        let mut is_first = true;
         loop {
-            let opened = self.open();
+            let opened = self.open(std::mem::replace(&mut is_first, false));
             let reason = match opened {
                 Ok(member) => match self.drive(member, &mut rx, &mut stopped).await {
                     Ok(()) => break,
@@ -247,7 +248,7 @@
     }
 
     /// Opens the data folder; founders of a new deployment write the state that they all begin with.
-    fn open(&self) -> Result<Member, Report<StorageError>> {
+    fn open(&self, is_first: bool) -> Result<Member, Report<StorageError>> {
         let address = self.settings.address;
         let seeds = self.seeds();
         let founds = self.settings.first_start && seeds.contains(&address);
@@ -278,6 +279,7 @@
             },
             hold_ms: self.settings.hold_ms,
             voters: self.settings.voters,
+            is_first,
             recovered,
             seed: rand::random(),
         };
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -81,6 +81,9 @@
         let mut raft = Raft::open(id, start.timing, hard, log, now, start.seed);
         // What this replica promised before it was restarted may hold that much longer.
         raft.withhold_votes(now.plus(start.timing.election_ms));
+        if start.is_first {
+            raft.poll_after_start(now);
+        }
         Replica {
             raft,
             store,
--- a/src/directory/replica/parts.rs
+++ b/src/directory/replica/parts.rs
@@ -127,6 +127,8 @@
     pub voters: usize,
     /// What the folder held.
     pub recovered: crate::storage::Recovered,
+    /// Whether the process was just started, so that nothing of an earlier replica in it is under way.
+    pub is_first: bool,
     /// Seeds the spread of election intervals.
     pub seed: u64,
 }
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -7,30 +7,46 @@
 use super::{Body, HardState, Message, Raft, ReplicaId, Role};
 
 impl Raft {
+    /// Asks for votes, or with `pre` set whether they would be given.
     pub(super) fn campaign(&mut self, pre: bool, now: Mono) {
-        self.leader = None;
-        let granted = BTreeSet::from([self.id]);
-        if pre {
-            self.role = Role::PreCandidate { granted };
-        } else {
-            self.hard = HardState {
-                term: self.hard.term + 1,
-                vote: Some(self.id),
-            };
-            self.role = Role::Candidate { granted };
+        if !pre {
+            return self.stand(false, now);
         }
+        self.leader = None;
+        self.role = Role::PreCandidate {
+            granted: BTreeSet::from([self.id]),
+        };
         self.reset_election(now);
+        self.ask_votes(true, false);
+        self.count_votes(now);
+    }
+
+    /// Asks for votes; with `after_poll` set, of voters that are known to count on no leader.
+    pub(super) fn stand(&mut self, after_poll: bool, now: Mono) {
+        self.leader = None;
+        self.role = Role::Candidate {
+            granted: BTreeSet::from([self.id]),
+        };
+        self.hard = HardState {
+            term: self.hard.term + 1,
+            vote: Some(self.id),
+        };
+        self.reset_election(now);
+        self.ask_votes(false, after_poll);
+        self.count_votes(now);
+    }
+
+    fn ask_votes(&mut self, pre: bool, after_poll: bool) {
         let term = self.hard.term + u64::from(pre);
         let body = Body::Vote {
             pre,
+            after_poll,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
         };
-        let others: Vec<ReplicaId> = self.others(false);
-        for to in others {
+        for to in self.others(false) {
             self.send_at(to, term, body.clone());
         }
-        self.count_votes(now);
     }
 
     pub(super) fn on_vote(&mut self, msg: Message, now: Mono) {
@@ -38,6 +54,7 @@
             pre,
             last_index,
             last_term,
+            ..
         } = msg.body
         else {
             return;
--- a/src/raft/message.rs
+++ b/src/raft/message.rs
@@ -112,6 +112,8 @@
     Vote {
         /// A poll that changes nothing at the receiver.
         pre: bool,
+        /// All voters granted a [`Body::Poll`] of the candidate.
+        after_poll: bool,
         /// The candidate's last entry.
         last_index: u64,
         /// That entry's term.
@@ -124,6 +126,15 @@
         /// Whether the vote is given.
         granted: bool,
     },
+    /// Asks whether the receiver was started a moment ago, as the sender was, and has no newer log.
+    Poll {
+        /// The sender's last entry.
+        last_index: u64,
+        /// That entry's term.
+        last_term: u64,
+    },
+    /// Says so.
+    PollGranted,
     /// New entries, or none as a heartbeat.
     Append {
         /// The entry before the first one carried.
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod log;
 mod message;
+mod restart;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -132,6 +133,10 @@
     leader_heard_at: Option<Mono>,
     votes_withheld_until: Mono,
     election_at: Mono,
+    /// When voters are polled again after the start.
+    poll_at: Option<Mono>,
+    /// Voters that granted a poll.
+    polled: BTreeSet<ReplicaId>,
     heartbeat_at: Mono,
     changed_from: Option<u64>,
     received: Option<Snapshot>,
@@ -168,6 +173,8 @@
             leader_heard_at: None,
             votes_withheld_until: Mono(0),
             election_at: now,
+            poll_at: None,
+            polled: BTreeSet::new(),
             heartbeat_at: now,
             changed_from: None,
             received: None,
@@ -301,6 +308,7 @@
             }
             return;
         }
+        self.poll(now);
         if now >= self.election_at && self.membership.voters.contains_key(&self.id) {
             self.campaign(true, now);
         }
@@ -331,7 +339,16 @@
         if msg.to != self.id {
             return;
         }
-        if let Body::Vote { pre, .. } = &msg.body {
+        if matches!(&msg.body, Body::Poll { .. } | Body::PollGranted) {
+            return self.on_poll(&msg, now);
+        }
+        if let Body::Vote {
+            pre, after_poll, ..
+        } = &msg.body
+        {
+            if *after_poll {
+                self.lift_after_poll(now);
+            }
             let sticky = self.hears_leader(now);
             if sticky || (!*pre && !self.admits(msg.term, now)) {
                 return;
--- /dev/null
+++ b/src/raft/restart.rs
@@ -0,0 +1,86 @@
+//! An election without delay, when all voters were started a moment ago.
+//!
+//! A replica that was started again gives no vote for a while, since before it may have answered a leader
+//! that counts on it. Where every voter was started again, that leader was too, and none is left to count
+//! on anyone. The voter with the newest log asks all others whether they were; once each one has said so,
+//! they vote at once.
+
+use std::collections::BTreeSet;
+
+use crate::clock::Mono;
+
+use super::{Body, Message, Raft, Role};
+
+/// Between two polls, in milliseconds: longer than the way to another region and back.
+const POLL_EVERY_MS: u64 = 100;
+
+impl Raft {
+    /// Has this replica poll the other voters while it gives no votes. Only for a process that was just started:
+    /// nothing that an earlier leader in it began may still be under way.
+    pub fn poll_after_start(&mut self, now: Mono) {
+        self.poll_at = Some(now);
+    }
+
+    /// Tells whether this replica gives no votes yet and has heard of no leader since it was started.
+    fn is_starting(&self, now: Mono) -> bool {
+        let polls = self.poll_at.is_some() && self.leader_heard_at.is_none();
+        polls && now < self.votes_withheld_until && matches!(self.role, Role::Follower)
+    }
+
+    /// Asks the other voters, when it is time to.
+    pub(super) fn poll(&mut self, now: Mono) {
+        let is_due = self.poll_at.is_some_and(|at| now >= at);
+        let is_voter = self.membership.voters.contains_key(&self.id);
+        if !is_due || !is_voter || !self.is_starting(now) {
+            return;
+        }
+        self.poll_at = Some(now.plus(POLL_EVERY_MS));
+        let body = Body::Poll {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        for to in self.others(false) {
+            self.send(to, body.clone());
+        }
+        self.polled.insert(self.id);
+        self.stand_after_poll(now);
+    }
+
+    /// Takes a poll or its answer.
+    pub(super) fn on_poll(&mut self, msg: &Message, now: Mono) {
+        if !self.is_starting(now) || !self.membership.voters.contains_key(&msg.from) {
+            return;
+        }
+        match msg.body {
+            Body::Poll {
+                last_index,
+                last_term,
+            } => {
+                let own = (self.log.last_term(), self.log.last_index(), self.id);
+                // One of any two voters grants it to the other: a single one is granted by all.
+                if (last_term, last_index, msg.from) > own {
+                    self.send(msg.from, Body::PollGranted);
+                }
+            }
+            _ => {
+                self.polled.insert(msg.from);
+                self.stand_after_poll(now);
+            }
+        }
+    }
+
+    /// Gives votes from now on, if the candidate was granted a poll by all voters, this replica among them.
+    pub(super) fn lift_after_poll(&mut self, now: Mono) {
+        if self.is_starting(now) {
+            self.votes_withheld_until = now;
+        }
+    }
+
+    fn stand_after_poll(&mut self, now: Mono) {
+        let voters: BTreeSet<_> = self.membership.voters.keys().copied().collect();
+        if voters.is_subset(&self.polled) {
+            self.votes_withheld_until = now;
+            self.stand(true, now);
+        }
+    }
+}
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -351,3 +351,34 @@
     // The schedules must bite.
     assert!(reopened > seeds(), "{reopened}");
 }
+
+/// A replica that was started gives no vote for this long, in milliseconds.
+const VOTES_WITHHELD_MS: u64 = 600;
+
+#[test]
+fn a_leader_is_elected_at_once_after_a_start_of_all_replicas() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        let leaders = world.leaders;
+        for n in 0..4 {
+            world.kill(n, 500 + 20 * n as u64, false);
+        }
+        world.run(560 + VOTES_WITHHELD_MS / 2);
+        assert_eq!(world.leaders, leaders + 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn no_leader_is_elected_at_once_while_one_voter_may_count_on_another() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        let leader = world.leader().unwrap();
+        let leaders = world.leaders;
+        world.freeze(leader, 5_000);
+        for n in (0..4).filter(|n| *n != leader) {
+            world.kill(n, 100, false);
+        }
+        world.run(100 + VOTES_WITHHELD_MS);
+        assert_eq!(world.leaders, leaders, "seed {seed}");
+    }
+}
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -58,6 +58,8 @@
     busy_until_us: u64,
     /// Upstreams of which the leader wasn't told yet.
     heard: Vec<Incarnation>,
+    /// Whether the process only opens its folder again.
+    reopens: bool,
 }
 
 impl Node {
@@ -73,6 +75,7 @@
             backlog: VecDeque::new(),
             busy_until_us: 0,
             heard: Vec::new(),
+            reopens: false,
         }
     }
 }
@@ -300,6 +303,7 @@
             },
             hold_ms: HOLD_MS,
             voters: 3,
+            is_first: !std::mem::take(&mut self.nodes[n].reopens),
             recovered,
             seed: self.rng.random(),
         };
--- a/tests/model/trouble.rs
+++ b/tests/model/trouble.rs
@@ -82,6 +82,7 @@
     pub(super) fn reopen(&mut self, n: usize) {
         self.reopened += 1;
         self.kill(n, REOPEN_MS, false);
+        self.nodes[n].reopens = true;
     }
 
     /// Returns what a step on a host takes longer now, in milliseconds.
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -14,7 +14,7 @@
 use carobreel::entry::gate::Gate;
 use carobreel::entry::load::LoadMeter;
 use carobreel::raft::{
-    Entry, HardState, Log, Membership, Payload, Raft, ReplicaId, Snapshot, Timing,
+    Body, Entry, HardState, Log, Membership, Message, Payload, Raft, ReplicaId, Snapshot, Timing,
 };
 use carobreel::selector::{Labels, Selector};
 use carobreel::settings::Deployment;
@@ -468,10 +468,13 @@
         let hard = HardState::default();
         let mut raft = Raft::open(ReplicaId(1), timing, hard, log, Mono(0), seed);
         raft.withhold_votes(Mono(600));
+        raft.poll_after_start(Mono(0));
         let mut stood_at = None;
         for now in (0..2_000).step_by(10) {
             raft.tick(Mono(now));
-            if stood_at.is_none() && !raft.take_ready().messages.is_empty() {
+            let ready = raft.take_ready();
+            let asks = |m: &Message| matches!(m.body, Body::Vote { .. });
+            if stood_at.is_none() && ready.messages.iter().any(asks) {
                 stood_at = Some(now);
             }
         }
