Register upstreams that announce themselves at once together

The leader answers some 2,000 requests a second of followers that pass announcements on, each a stream and an entry of the log, for ten seconds. Change: a follower passes announcements with news on every 40 ms, all at once, and they are one entry. Upstreams are found by address through an index instead of by a look at all of them for each heartbeat; two more loops over all ranges or connections for each step or call are gone.

--- a/src/directory/ask.rs
+++ b/src/directory/ask.rs
@@ -41,6 +41,8 @@
 pub enum Ask {
     /// An upstream announces itself.
     Announce(Upstream),
+    /// Upstreams that announced themselves to a follower with news, which waits for the answer.
+    AnnounceAll(Vec<Upstream>),
     /// Upstreams that announced themselves to a follower, which acknowledged it.
     Heard(Vec<Incarnation>),
     /// An upstream leaves.
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -28,7 +28,7 @@
 use super::lessor::{Call, CallResult};
 use super::membership::{founder_id, founding};
 use super::metrics::{CallLabels, Metrics};
-use super::model::Incarnation;
+use super::model::{Incarnation, Phase, Upstream};
 use super::peers::Peers;
 use super::replica::{Output, Replica, Start, Step, LOG_NAME};
 use super::serve::Server;
@@ -45,6 +45,11 @@
 /// A follower tells the leader this often which upstreams it heard of, in milliseconds: a tenth of the time
 /// after which one counts as silent.
 const HEARD_EVERY_MS: u64 = 200;
+/// It passes announcements with news on to the leader this often, all at once, in milliseconds: little against
+/// the second that an upstream waits.
+const ANNOUNCED_EVERY_MS: u64 = 40;
+/// It passes them on at once when there are this many.
+const ANNOUNCED_MAX: usize = 128;
 /// Requests, messages and results that are taken at once, before heartbeats are looked at again.
 const STEPS_MAX: usize = 256;
 /// The leader's answer is awaited this long: it may wait half a second for entry hosts to know of a change.
@@ -157,6 +162,7 @@
                     work: Work::default(),
                     hosts: BTreeMap::new(),
                     heard: BTreeSet::new(),
+                    announced: Vec::new(),
                 };
                 host.run(rx, stopped).await;
             });
@@ -209,6 +215,8 @@
     hosts: BTreeMap<ReplicaId, String>,
     /// Upstreams that were heard of here, and of which the leader wasn't told yet.
     pub(super) heard: BTreeSet<Incarnation>,
+    /// Announcements with news, of which the leader wasn't told yet.
+    pub(super) announced: Vec<(Upstream, oneshot::Sender<Reply>)>,
 }
 
 impl<C: KeyCalls> Host<C> {
@@ -311,6 +319,7 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut join_at = self.clock.now().plus(ELECTION_MS);
         let mut heard_at = join_at;
+        let mut announced_at = self.clock.now();
         let mut steps = Vec::new();
         self.connect(&member);
         loop {
@@ -332,6 +341,10 @@
             self.finish(&member, output);
             self.metrics.observe(&member, now);
             self.work.note_pass(now);
+            if now >= announced_at || self.announced.len() >= ANNOUNCED_MAX {
+                announced_at = now.plus(ANNOUNCED_EVERY_MS);
+                self.tell_announced(&member);
+            }
             if now >= heard_at {
                 heard_at = now.plus(HEARD_EVERY_MS);
                 self.tell_heard(&member);
@@ -388,6 +401,9 @@
                             self.heard.insert(upstream.incarnation);
                             let _ = tx.send(Reply::Done);
                         }
+                        Ask::Announce(upstream) if upstream.phase == Phase::Ready => {
+                            self.announced.push((upstream, tx));
+                        }
                         ask => self.forward(member, ask, origin, tx),
                     }
                     return None;
@@ -418,7 +434,13 @@
     }
 
     /// Passes a request on to the leader. Another process is only told where that is.
-    fn forward(&self, member: &Member, ask: Ask, origin: Origin, tx: oneshot::Sender<Reply>) {
+    pub(super) fn forward(
+        &self,
+        member: &Member,
+        ask: Ask,
+        origin: Origin,
+        tx: oneshot::Sender<Reply>,
+    ) {
         let own = self.settings.address.to_string();
         let leader = member.leader_host().filter(|host| *host != own);
         let Some(leader) = leader else {
@@ -435,8 +457,7 @@
             let reply = match endpoint.call(&leader, request, FORWARD_TIMEOUT).await {
                 Ok(Response::Directory(reply)) => reply,
                 // The caller asks again, here or elsewhere; every request bears that.
-                Ok(_) => Reply::NotLeader(None),
-                Err(_) => Reply::NotLeader(None),
+                Ok(_) | Err(_) => Reply::NotLeader(None),
             };
             let _ = tx.send(reply);
         });
--- a/src/directory/describe.rs
+++ b/src/directory/describe.rs
@@ -2,11 +2,12 @@
 
 use crate::event::Event;
 
+use super::model::Upstream;
 use super::state::{Command, State};
 
-/// Returns the event that tells of a command about to be applied to `state`, if it changes anything
+/// Returns the events that tell of a command about to be applied to `state`, as far as it changes anything
 /// worth a line. Only the leader tells of single key ranges.
-pub fn event_of(state: &State, command: &Command, leads: bool) -> Option<Event> {
+pub fn events_of(state: &State, command: &Command, leads: bool) -> Vec<Event> {
     let event = match command {
         Command::Configure(stored) if stored.config.version > state.config_version() => {
             Event::RoutesDecided {
@@ -14,12 +15,8 @@
                 routes: stored.config.routes.len() as u64,
             }
         }
-        Command::Register(u) => Event::UpstreamRegistered {
-            upstream: u.incarnation.id.clone(),
-            born_ms: u.incarnation.born_ms,
-            service: u.service.clone(),
-            phase: format!("{:?}", u.phase),
-        },
+        Command::Register(upstream) => registered(upstream),
+        Command::RegisterAll(list) => return list.iter().map(registered).collect(),
         Command::Deregister(who) => Event::UpstreamDeregistered {
             upstream: who.id.clone(),
         },
@@ -35,7 +32,16 @@
             owner: owner.id.clone(),
             fence: state.versions.owners + 1,
         },
-        _ => return None,
+        _ => return Vec::new(),
     };
-    Some(event)
+    vec![event]
+}
+
+fn registered(upstream: &Upstream) -> Event {
+    Event::UpstreamRegistered {
+        upstream: upstream.incarnation.id.clone(),
+        born_ms: upstream.incarnation.born_ms,
+        service: upstream.service.clone(),
+        phase: format!("{:?}", upstream.phase),
+    }
 }
--- a/src/directory/follower.rs
+++ b/src/directory/follower.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 
+use tokio::sync::oneshot;
+
 use crate::wire::{Request, Response};
 
 use super::ask::{Ask, Reply};
 use super::daemon::{Host, KeyCalls, Member, FORWARD_TIMEOUT};
+use super::handle::Origin;
+use super::model::Upstream;
 
 impl<C: KeyCalls> Host<C> {
     /// Asks the leader, or any process that may know it, to be taken into the log.
@@ -39,6 +43,24 @@
         });
     }
 
+    /// Passes announcements with news on to the leader and answers them with its answer.
+    pub(super) fn tell_announced(&mut self, member: &Member) {
+        let announced = std::mem::take(&mut self.announced);
+        if announced.is_empty() {
+            return;
+        }
+        let (list, waiting): (Vec<Upstream>, Vec<oneshot::Sender<Reply>>) =
+            announced.into_iter().unzip();
+        let (tx, rx) = oneshot::channel();
+        self.forward(member, Ask::AnnounceAll(list), Origin::Here, tx);
+        tokio::spawn(async move {
+            let reply = rx.await.unwrap_or(Reply::NotLeader(None));
+            for tx in waiting {
+                let _ = tx.send(reply.clone());
+            }
+        });
+    }
+
     /// Tells the leader which upstreams announced themselves here.
     pub(super) fn tell_heard(&mut self, member: &Member) {
         let heard = std::mem::take(&mut self.heard);
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -383,9 +383,10 @@
         let hold_ms = self.hold_ms;
         for table in state.owners.values() {
             for range in table.ranges.values() {
-                self.bounds
-                    .entry(range.owner.clone())
-                    .or_insert_with(|| inherited(hold_ms, elected_at));
+                if !self.bounds.contains_key(&range.owner) {
+                    let bounds = inherited(hold_ms, elected_at);
+                    self.bounds.insert(range.owner.clone(), bounds);
+                }
             }
         }
     }
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -117,6 +117,9 @@
         may_call: bool,
         step: &mut Step,
     ) {
+        if self.moves.is_empty() {
+            return;
+        }
         let mut moves = std::mem::take(&mut self.moves);
         let mut loads = self.key_counts(state);
         for m in &mut moves {
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -198,6 +198,25 @@
                 let command = Command::Register(upstream.clone());
                 return self.propose(command, token, now);
             }
+            Ask::AnnounceAll(list) => {
+                let mut news = Vec::new();
+                for upstream in list {
+                    let who = &upstream.incarnation;
+                    lead.heard.insert(who.id.clone(), now);
+                    let is_news = self.state.would_change(upstream);
+                    if is_news || self.state.live(who).is_some() {
+                        lead.lessor.hear(who, now);
+                    }
+                    if is_news {
+                        news.push(upstream.clone());
+                    }
+                }
+                if news.is_empty() {
+                    self.output.replies.push((token, Reply::Done));
+                    return;
+                }
+                return self.propose(Command::RegisterAll(news), token, now);
+            }
             Ask::Leave(who) => {
                 let command = Command::Deregister(who.clone());
                 return self.propose(command, token, now);
@@ -340,8 +359,8 @@
             let leads = self.lead.is_some();
             // What was stored before the start was told of then.
             if entry.index > self.recovered_to {
-                let event = describe::event_of(&self.state, &command, leads);
-                self.output.events.extend(event);
+                let events = describe::events_of(&self.state, &command, leads);
+                self.output.events.extend(events);
             }
             self.state.apply(entry.index, command);
         }
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state machine: commands and what they change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -86,6 +87,8 @@
     Configure(Box<StoredConfig>),
     /// Notes what an upstream says of itself.
     Register(Upstream),
+    /// Notes what several upstreams say of themselves.
+    RegisterAll(Vec<Upstream>),
     /// Notes that an upstream leaves.
     Deregister(Incarnation),
     /// Drops upstreams that haven't been heard of for long.
@@ -124,6 +127,8 @@
     route_changes: RouteChanges,
     /// Every upstream that is known, by id.
     pub upstreams: BTreeMap<String, Upstream>,
+    /// Ids of the upstreams at each address.
+    by_address: BTreeMap<SocketAddr, BTreeSet<String>>,
     /// When each upstream last changed, by id.
     changed: BTreeMap<String, u64>,
     /// When an upstream was last forgotten.
@@ -140,12 +145,19 @@
         match command {
             Command::Configure(stored) => self.configure(*stored),
             Command::Register(upstream) => self.register(index, upstream),
+            Command::RegisterAll(list) => {
+                for upstream in list {
+                    self.register(index, upstream);
+                }
+            }
             Command::Deregister(who) => self.deregister(index, &who),
             Command::Forget(list) => {
                 for who in list {
                     let known = self.upstreams.get(&who.id);
-                    if known.is_some_and(|u| u.incarnation == who) {
+                    if let Some(address) = known.filter(|u| u.incarnation == who).map(|u| u.address)
+                    {
                         self.upstreams.remove(&who.id);
+                        self.leave_address(address, &who.id);
                         self.changed.remove(&who.id);
                         self.forgot = index;
                         self.versions.upstreams = index;
@@ -252,12 +264,8 @@
                 next.phase = next.phase.max(known.phase);
             }
         }
-        let superseded = |other: &Upstream| {
-            other.address == upstream.address
-                && other.incarnation.id != who.id
-                && other.incarnation.born_ms > who.born_ms
-        };
-        if self.upstreams.values().any(superseded) {
+        let mut others = self.others_at(upstream);
+        if others.any(|other| other.incarnation.born_ms > who.born_ms) {
             next.phase = Phase::Gone;
         }
         Some(next)
@@ -268,20 +276,41 @@
             return;
         };
         let who = next.incarnation.clone();
-        for other in self.upstreams.values_mut() {
-            let replaced = other.address == next.address
-                && other.incarnation.id != who.id
-                && other.incarnation.born_ms < who.born_ms;
-            if replaced {
+        let is_older = |other: &&Upstream| other.incarnation.born_ms < who.born_ms;
+        let replaced = self.others_at(&next).filter(is_older);
+        let replaced: Vec<String> = replaced.map(|u| u.incarnation.id.clone()).collect();
+        for id in replaced {
+            if let Some(other) = self.upstreams.get_mut(&id) {
                 other.phase = Phase::Gone;
-                self.changed.insert(other.incarnation.id.clone(), index);
             }
+            self.changed.insert(id, index);
         }
+        if let Some(before) = self.upstreams.get(&who.id).map(|u| u.address) {
+            self.leave_address(before, &who.id);
+        }
+        let at = self.by_address.entry(next.address).or_default();
+        at.insert(who.id.clone());
         self.changed.insert(who.id.clone(), index);
         self.upstreams.insert(who.id, next);
         self.versions.upstreams = index;
     }
 
+    /// Returns the other upstreams at an upstream's address.
+    fn others_at<'a>(&'a self, upstream: &'a Upstream) -> impl Iterator<Item = &'a Upstream> {
+        let ids = self.by_address.get(&upstream.address).into_iter().flatten();
+        ids.filter(|id| **id != upstream.incarnation.id)
+            .filter_map(|id| self.upstreams.get(id))
+    }
+
+    fn leave_address(&mut self, address: SocketAddr, id: &str) {
+        if let Some(ids) = self.by_address.get_mut(&address) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
+    }
+
     fn deregister(&mut self, index: u64, who: &Incarnation) {
         let Some(known) = self.upstreams.get_mut(&who.id) else {
             return;
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -23,14 +23,23 @@
 
 /// Idle connections that are kept to one upstream: calls to it seldom overlap.
 const IDLE_MAX: usize = 2;
-/// With more addresses than this, those whose connections have ended are forgotten.
-const ADDRESSES_MAX: usize = 1_024;
+/// With more addresses than this, and twice those that were open then, those whose connections have ended are
+/// forgotten.
+const ADDRESSES_LEAST: usize = 1_024;
 
 /// Calls upstreams on connections that are kept open.
 #[derive(Debug)]
 pub struct KeyClient {
     clock: Clock,
-    idle: Mutex<BTreeMap<SocketAddr, Vec<Client>>>,
+    idle: Mutex<Idle>,
+}
+
+/// Connections without a call.
+#[derive(Debug)]
+struct Idle {
+    by_address: BTreeMap<SocketAddr, Vec<Client>>,
+    /// With more addresses than this, those whose connections have ended are forgotten.
+    addresses_max: usize,
 }
 
 impl KeyClient {
@@ -38,22 +47,28 @@
     pub fn new(clock: Clock) -> KeyClient {
         KeyClient {
             clock,
-            idle: Mutex::default(),
+            idle: Mutex::new(Idle {
+                by_address: BTreeMap::new(),
+                addresses_max: ADDRESSES_LEAST,
+            }),
         }
     }
 
     fn take(&self, address: SocketAddr) -> Client {
-        let open = lock(&self.idle).get_mut(&address).and_then(Vec::pop);
+        let mut idle = lock(&self.idle);
+        let open = idle.by_address.get_mut(&address).and_then(Vec::pop);
         open.unwrap_or_else(|| Client::resetting(address))
     }
 
     /// Keeps a connection for the next call to its upstream.
     fn put_back(&self, address: SocketAddr, client: Client) {
         let mut idle = lock(&self.idle);
-        if idle.len() > ADDRESSES_MAX {
-            idle.retain(|_, clients| clients.iter().any(Client::is_open));
+        if idle.by_address.len() > idle.addresses_max {
+            let is_open = |clients: &[Client]| clients.iter().any(Client::is_open);
+            idle.by_address.retain(|_, clients| is_open(clients));
+            idle.addresses_max = ADDRESSES_LEAST.max(2 * idle.by_address.len());
         }
-        let clients = idle.entry(address).or_default();
+        let clients = idle.by_address.entry(address).or_default();
         if clients.len() < IDLE_MAX {
             clients.push(client);
         }
--- /dev/null
+++ b/tests/registering.rs
@@ -0,0 +1,165 @@
+//! Many upstreams that announce themselves at once.
+
+mod bed;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bed::{wait_for, READY};
+use carobreel::clock::Clock;
+use carobreel::daemon::silent;
+use carobreel::directory::ask::{Ask, Reply};
+use carobreel::directory::daemon::{Directory, Settings};
+use carobreel::directory::model::{Incarnation, Phase, Upstream};
+use carobreel::directory::state::{Command, State};
+use carobreel::event::Recorder;
+use carobreel::keys;
+use carobreel::platform::keys::KeyClient;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tempfile::TempDir;
+
+/// An upstream takes an announcement for acknowledged within this.
+const ACKNOWLEDGED: Duration = Duration::from_secs(1);
+const UPSTREAMS: u32 = 400;
+
+fn upstream(n: u32, port: u16, born_ms: u64) -> Upstream {
+    Upstream {
+        incarnation: Incarnation {
+            id: format!("u{n}"),
+            born_ms,
+        },
+        service: "maps".to_string(),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        zone: "a".to_string(),
+        slots: 3,
+        phase: Phase::Ready,
+    }
+}
+
+/// Starts the three founders of a directory.
+fn start(network: u8) -> (Vec<Directory>, Vec<TempDir>) {
+    let host = |n: u8| SocketAddr::from(([127, 0, network, n], 21_700));
+    let tls = keys::unverified().unwrap();
+    let folders: Vec<TempDir> = (0..3).map(|_| tempfile::tempdir().unwrap()).collect();
+    let directories = folders.iter().zip(1..).map(|(folder, n)| {
+        let settings = Settings {
+            address: host(n),
+            seeds: Arc::new(Mutex::new(vec![host(1), host(2), host(3)])),
+            first_start: true,
+            data_folder: folder.path().to_path_buf(),
+            hold_ms: 2_500,
+            voters: 3,
+        };
+        let clock = Clock::start();
+        let recorder = Recorder::new(&format!("c{n}"), silent());
+        Directory::spawn(
+            settings,
+            tls.clone(),
+            KeyClient::new(clock),
+            clock,
+            recorder,
+        )
+        .unwrap()
+    });
+    (directories.collect(), folders)
+}
+
+fn gauge(directory: &Directory, name: &str) -> i64 {
+    let text = directory.metrics().text();
+    let line = text.lines().find(|l| {
+        l.split([' ', '{'])
+            .next()
+            .is_some_and(|n| n.ends_with(name))
+    });
+    line.and_then(|l| l.rsplit(' ').next()?.parse().ok())
+        .unwrap_or(-1)
+}
+
+#[tokio::test]
+async fn upstreams_that_announce_themselves_at_once_to_a_follower_share_entries_of_the_log() {
+    let (directories, _folders) = start(73);
+    wait_for("one leads", READY, async || {
+        directories.iter().any(|d| gauge(d, "leads") == 1)
+    })
+    .await;
+    let follower = directories.iter().find(|d| gauge(d, "leads") == 0).unwrap();
+    wait_for("it knows the leader", READY, async || {
+        let ask = Ask::Announce(upstream(0, 1, 1));
+        follower.handle().ask(ask).await == Reply::Done
+    })
+    .await;
+    let before = gauge(follower, "committed");
+    let mut asked = tokio::task::JoinSet::new();
+    for n in 1..=UPSTREAMS {
+        let handle = follower.handle();
+        let ask = Ask::Announce(upstream(n, n as u16 + 1, 1));
+        asked.spawn(async move { tokio::time::timeout(ACKNOWLEDGED, handle.ask(ask)).await });
+    }
+    for reply in asked.join_all().await {
+        assert_eq!(reply, Ok(Reply::Done));
+    }
+    wait_for("they are known", READY, async || {
+        gauge(follower, "upstreams") == i64::from(UPSTREAMS) + 1
+    })
+    .await;
+    let entries = gauge(follower, "committed") - before;
+    assert!(entries <= i64::from(UPSTREAMS) / 10, "{entries} entries");
+    directories.into_iter().for_each(Directory::stop);
+}
+
+/// What registering one after the other, looking at all upstreams each time, makes of them.
+fn reference(known: &mut Vec<Upstream>, next: &Upstream) {
+    let who = &next.incarnation;
+    let at = known.iter().position(|u| u.incarnation.id == who.id);
+    if at.is_some_and(|n| known[n].incarnation.born_ms > who.born_ms) {
+        return;
+    }
+    let mut next = next.clone();
+    if let Some(same) = at.filter(|n| known[*n].incarnation == *who) {
+        next.phase = next.phase.max(known[same].phase);
+    }
+    let beside = |u: &Upstream| u.address == next.address && u.incarnation.id != who.id;
+    if known
+        .iter()
+        .any(|u| beside(u) && u.incarnation.born_ms > who.born_ms)
+    {
+        next.phase = Phase::Gone;
+    }
+    for other in known.iter_mut().filter(|u| beside(u)) {
+        if other.incarnation.born_ms < who.born_ms {
+            other.phase = Phase::Gone;
+        }
+    }
+    match at {
+        Some(n) => known[n] = next,
+        None => known.push(next),
+    }
+}
+
+#[test]
+fn upstreams_registered_together_are_as_if_one_after_the_other() {
+    for seed in 0..50 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut state = State::default();
+        let mut known = Vec::new();
+        for index in 1..60 {
+            let count = rng.random_range(1..6);
+            let mut draw = || {
+                let n = rng.random_range(0..12);
+                upstream(n, rng.random_range(1..8), rng.random_range(1..20))
+            };
+            let list: Vec<Upstream> = (0..count).map(|_| draw()).collect();
+            list.iter().for_each(|u| reference(&mut known, u));
+            state.apply(index, Command::RegisterAll(list));
+            if index % 10 == 0 {
+                let gone = known.swap_remove(rng.random_range(0..known.len()));
+                state.apply(index, Command::Forget(vec![gone.incarnation]));
+            }
+        }
+        known.sort_by(|a, b| a.incarnation.id.cmp(&b.incarnation.id));
+        let found: Vec<Upstream> = state.upstreams.values().cloned().collect();
+        assert_eq!(found, known, "seed {seed}");
+    }
+}
