Connect to replicas that are just starting without waiting for lost datagrams

Cause: replicas start within 0.3 s of each other. The first datagram to one that doesn't listen yet is lost, and sent again after 210 ms and 630 ms, so that polls came after the time without votes. Change: connections between replicas at the start are attempted every 100 ms, up to five times beside each other; the first that opens is used. The test (a process that listens 250 ms late) failed before and passes now.

--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -372,11 +372,7 @@
         let own = member.raft().id();
         let replicas = member.raft().membership().replicas();
         for (_, host) in replicas.filter(|(id, _)| *id != own) {
-            let (endpoint, host) = (self.endpoint.clone(), host.clone());
-            tokio::spawn(async move {
-                // One that can't be reached yet is connected to when there is something to say.
-                let _ = endpoint.call(&host, Request::Ping, FORWARD_TIMEOUT).await;
-            });
+            self.endpoint.connect_to_starting(host);
         }
     }
 
--- a/src/transport/dial.rs
+++ b/src/transport/dial.rs
@@ -1,12 +1,15 @@
 //! Connections to other hosts: opened once however many want them, given up only when they are silent.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use quinn::Connection;
+use quinn::{Connecting, Connection};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::lock::lock;
 
@@ -32,6 +35,39 @@
     }
 }
 
+/// Attempts to connect to a host that is just starting, of which each next one begins after
+/// [`STARTING_PAUSE`].
+const STARTING_TRIES: usize = 5;
+/// Longer than a handshake within a region; one with another region may be made twice.
+const STARTING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Makes up to `tries` attempts beside each other and returns the first connection.
+async fn attempt(
+    quic: &quinn::Endpoint,
+    first: Connecting,
+    address: SocketAddr,
+    name: &str,
+    tries: usize,
+) -> Option<Connection> {
+    let mut attempts = JoinSet::new();
+    attempts.spawn(first);
+    for _ in 1..tries {
+        let connected = tokio::time::timeout(STARTING_PAUSE, attempts.join_next()).await;
+        if let Ok(Some(Ok(Ok(connection)))) = connected {
+            return Some(connection);
+        }
+        if let Ok(connecting) = quic.connect(address, name) {
+            attempts.spawn(connecting);
+        }
+    }
+    while let Some(connected) = attempts.join_next().await {
+        if let Ok(Ok(connection)) = connected {
+            return Some(connection);
+        }
+    }
+    None
+}
+
 /// Connections that a process opened to others, since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Dialled {
@@ -89,7 +125,7 @@
         &self,
         host: &str,
     ) -> Result<Connection, Report<TransportError>> {
-        let mut dial = self.dial(host)?;
+        let mut dial = self.dial(host, 1)?;
         let dialled = dial.wait_for(|d| !matches!(d, Dialling::Pending)).await;
         match dialled.as_deref() {
             Ok(Dialling::Open(connection)) => Ok(connection.clone()),
@@ -98,9 +134,16 @@
         }
     }
 
+    /// Begins to open a connection to a host that starts at the same time as this one: whose first datagrams come
+    /// too early is lost, and would be sent again only after a while.
+    pub fn connect_to_starting(&self, host: &str) {
+        // Whoever wants the connection logs why there is none.
+        let _ = self.dial(host, STARTING_TRIES);
+    }
+
     /// Returns the connection to a host, or begins to open one. However many want it, and whoever of
     /// them gives up, there is one attempt at a time.
-    fn dial(&self, host: &str) -> Result<Dial, Report<TransportError>> {
+    fn dial(&self, host: &str, tries: usize) -> Result<Dial, Report<TransportError>> {
         let mut connections = self.connections();
         if let Some(dial) = connections.get(host) {
             if dial.borrow().is_usable() {
@@ -112,7 +155,7 @@
             return Err(Report::new(TransportError::UnknownHost));
         };
         let name = host.rsplit_once(':').map_or(host, |(ip, _)| ip);
-        let connecting = self
+        let first = self
             .inner
             .quic
             .connect(address, name)
@@ -120,15 +163,17 @@
         let (tx, dial) = watch::channel(Dialling::Pending);
         connections.insert(host.to_string(), dial.clone());
         let inner = self.inner.clone();
+        let name = name.to_string();
         tokio::spawn(async move {
-            let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+            let attempts = attempt(&inner.quic, first, address, &name, tries);
+            let connected = tokio::time::timeout(CONNECT_TIMEOUT, attempts).await;
             let dialled = match connected {
-                Ok(Ok(connection)) => {
+                Ok(Some(connection)) => {
                     inner.opened.fetch_add(1, Ordering::Relaxed);
                     Dialling::Open(connection)
                 }
                 // Whoever waits for it logs the failure with what it was for.
-                Ok(Err(_)) | Err(_) => {
+                Ok(None) | Err(_) => {
                     inner.failed.fetch_add(1, Ordering::Relaxed);
                     Dialling::Failed(TransportError::Connect)
                 }
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -224,3 +224,17 @@
     assert_eq!(asked.await.unwrap().unwrap_err(), TransportError::Timeout);
     assert!(ended.elapsed() < patience * 3 / 2, "{:?}", ended.elapsed());
 }
+
+#[tokio::test]
+async fn a_host_that_starts_a_moment_later_is_connected_to_as_soon_as_it_is_there() {
+    let host = free_address();
+    let client = endpoint("c");
+    let began = tokio::time::Instant::now();
+    client.connect_to_starting(&host);
+    // By then the first datagram was sent again once, also in vain.
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    let server = endpoint_at("s", host.parse().unwrap());
+    serve(&server, Arc::default());
+    client.call(&host, Request::Ping, PATIENCE).await.unwrap();
+    assert!(began.elapsed() < Duration::from_millis(500));
+}
