--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -382,3 +382,18 @@
         assert_eq!(world.leaders, leaders, "seed {seed}");
     }
 }
+
+#[test]
+fn an_election_of_the_two_voters_that_are_left_isn_t_split() {
+    for seed in 0..seeds() {
+        let mut world = started(seed, CALM);
+        let leader = world.leader().unwrap();
+        let leaders = world.leaders;
+        for n in 0..4 {
+            world.kill(n, 500, n == leader);
+        }
+        // A split election is tried again after 600 ms at the earliest.
+        world.run(500 + 2 * VOTES_WITHHELD_MS);
+        assert_eq!(world.leaders, leaders + 1, "seed {seed}");
+    }
+}
