--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -452,12 +452,6 @@
         self.nodes.iter().position(is)
     }
 
-    fn delay(&mut self, from: usize, to: usize) -> u64 {
-        let same = self.nodes[from].region == self.nodes[to].region;
-        let base = if same { 1 } else { 30 };
-        base + self.rng.random_range(0..3) + self.drag(from) + self.drag(to)
-    }
-
     fn replied(&mut self, token: u64, reply: Reply) {
         let Some(question) = self.questions.remove(&token) else {
             return;
--- a/tests/model/trouble.rs
+++ b/tests/model/trouble.rs
@@ -85,6 +85,13 @@
         self.nodes[n].reopens = true;
     }
 
+    /// Returns how long a message takes from one replica to another, in milliseconds.
+    pub(super) fn delay(&mut self, from: usize, to: usize) -> u64 {
+        let same = self.nodes[from].region == self.nodes[to].region;
+        let base = if same { 1 } else { 30 };
+        base + self.rng.random_range(0..3) + self.drag(from) + self.drag(to)
+    }
+
     /// Returns what a step on a host takes longer now, in milliseconds.
     pub(super) fn drag(&mut self, n: usize) -> u64 {
         match self.nodes[n].slow_until > self.now {
