--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -2,6 +2,7 @@
 //! speak the platform's protocol and can be made to misbehave.
 #![allow(dead_code)]
 
+pub mod deployment;
 pub mod upstream;
 
 use std::net::SocketAddr;
--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,10 @@
 
 /// Interval between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Time from the end of a process until a later one listens at its address.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// Processing time of a request at an upstream that a request may end.
+const WORK: Duration = Duration::from_millis(30);
 
 /// How an upstream responds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +56,8 @@
     AsksForBackoff(&'static str),
     /// Names this rate limit in its responses.
     NamesRateLimit(&'static str),
+    /// Ends when it runs a request whose path ends with this text, and starts again after `RESTART_DELAY`.
+    EndsOn(&'static str),
 }
 
 /// What an upstream has received.
@@ -64,6 +71,8 @@
     pub heads: Vec<String>,
     /// Lengths of request bodies, and whether all bytes of a body are equal.
     pub bodies: Vec<(usize, bool)>,
+    /// Times at which it ended while it ran a request.
+    pub ended_at: Vec<Instant>,
     /// Times at which a connection was closed while its request was being processed.
     pub abandoned_at: Vec<Instant>,
     pub grants: u64,
@@ -80,7 +89,9 @@
     behavior: Arc<Mutex<Behavior>>,
     raw_response: Arc<Mutex<Vec<u8>>>,
     tasks: Arc<Mutex<tokio::task::JoinSet<()>>>,
-    born_ms: u64,
+    network: u8,
+    born_ms: Arc<AtomicU64>,
+    is_down: Arc<AtomicBool>,
 }
 
 impl FakeUpstream {
@@ -95,10 +106,17 @@
             behavior: Arc::new(Mutex::new(Behavior::Normal)),
             raw_response: Arc::default(),
             tasks: Arc::default(),
-            born_ms: 1_700_000_000_000 + u64::from(n),
+            network: testbed.network,
+            born_ms: Arc::new(AtomicU64::new(1_700_000_000_000 + u64::from(n))),
+            is_down: Arc::default(),
         };
-        let server = upstream.clone();
-        upstream.tasks.lock().unwrap().spawn(async move {
+        upstream.listen(listener);
+        upstream
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let server = self.clone();
+        self.tasks.lock().unwrap().spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 let upstream = server.clone();
@@ -108,7 +126,24 @@
                 server.tasks.lock().unwrap().spawn(serve);
             }
         });
-        upstream
+    }
+
+    /// Ends the process, and starts a later one at the same address after `RESTART_DELAY`.
+    fn end_and_restart(&self) {
+        if self.is_down.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.observed.lock().unwrap().ended_at.push(Instant::now());
+        self.crash();
+        let upstream = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_DELAY).await;
+            upstream.born_ms.fetch_add(1_000, Ordering::Relaxed);
+            upstream.observed.lock().unwrap().held_ranges.clear();
+            upstream.is_down.store(false, Ordering::Relaxed);
+            upstream.listen(TcpListener::bind(upstream.address).await.unwrap());
+            upstream.send_heartbeats();
+        });
     }
 
     pub fn set_behavior(&self, behavior: Behavior) {
@@ -144,9 +179,14 @@
             async || self.announce(testbed, "ready").await == 200,
         )
         .await;
-        let (upstream, network) = (self.clone(), testbed.network);
+        self.send_heartbeats();
+    }
+
+    /// Sends heartbeats until the process ends.
+    fn send_heartbeats(&self) {
+        let upstream = self.clone();
         self.tasks.lock().unwrap().spawn(async move {
-            let operators = super::at(network, 1, super::OPERATORS_PORT);
+            let operators = super::at(upstream.network, 1, super::OPERATORS_PORT);
             loop {
                 tokio::time::sleep(HEARTBEAT).await;
                 let body = upstream.heartbeat("ready").to_string();
@@ -160,7 +200,7 @@
         json!({
             "service": self.service, "address": self.address.to_string(), "zone": "a",
             "version": "v1", "slots": 3, "state": state, "coldRemaining": "0ms",
-            "sequence": 1, "born": self.born_ms,
+            "sequence": 1, "born": self.born_ms.load(Ordering::Relaxed),
         })
     }
 
@@ -274,6 +314,15 @@
         }
         let run = (id.clone(), Instant::now());
         self.observed.lock().unwrap().runs.push(run);
+        if let Behavior::EndsOn(suffix) = behavior {
+            let path = head.split(' ').nth(1).unwrap_or("");
+            tokio::time::sleep(WORK).await;
+            if path.ends_with(suffix) {
+                self.end_and_restart();
+                // The task is aborted here.
+                std::future::pending::<()>().await;
+            }
+        }
         if behavior == Behavior::Raw {
             let bytes = self.raw_response.lock().unwrap().clone();
             stream.write_all(&bytes).await?;
@@ -343,6 +392,7 @@
             | Behavior::RefusesWithProof
             | Behavior::AsksForBackoff(_)
             | Behavior::Raw
+            | Behavior::EndsOn(_)
             | Behavior::Delayed(_) => (format_response(200, &stamp, &body), true),
         };
         stream.write_all(bytes.as_bytes()).await?;
