--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 pub mod load;
 pub mod plan;
+pub mod quarantine;
 pub mod report;
 pub mod serve;
 pub mod slopes;
--- a/src/diagnosis.rs
+++ b/src/diagnosis.rs
@@ -121,6 +121,8 @@
     match event {
         Event::RequestFailed { request, .. }
         | Event::AttemptFailed { request, .. }
+        | Event::RequestBroken { request, .. }
+        | Event::SuspectRefused { request, .. }
         | Event::RequestServed { request, .. }
         | Event::RequestAbandoned { request, .. }
         | Event::RequestRejected { request, .. } => Some(request),
@@ -268,7 +270,10 @@
         | Event::ProcessStopping { .. }
         | Event::SettingsRefused { .. }
         | Event::RequestsUnlogged { .. } => is_same_host,
-        Event::UpstreamEjected { upstream, .. } | Event::UpstreamReadmitted { upstream } => {
+        Event::UpstreamEjected { upstream, .. }
+        | Event::UpstreamReadmitted { upstream }
+        | Event::UpstreamEnded { upstream, .. }
+        | Event::BreakNotACrash { upstream, .. } => {
             is_same_host && end.upstreams.contains(upstream.as_str())
         }
         Event::UpstreamRegistered { upstream, .. } | Event::UpstreamDeregistered { upstream } => {
--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -1,6 +1,7 @@
 //! Determines why a request ended as it did.
 
 use crate::event::{Event, EventRecord};
+use crate::gateway::suspects::{UPSTREAMS_ENDED, UPSTREAMS_ENDED_ON_TRIAL};
 
 use super::{assigned_owner, RequestEnd};
 
@@ -16,7 +17,15 @@
     end: &RequestEnd<'_>,
 ) -> String {
     let last = request_events.iter().rev().map(|s| &s.event);
-    let final_event = last.filter(|e| !matches!(e, Event::AttemptFailed { .. }));
+    let is_end = |e: &&Event| {
+        !matches!(
+            e,
+            Event::AttemptFailed { .. }
+                | Event::RequestBroken { .. }
+                | Event::SuspectRefused { .. }
+        )
+    };
+    let final_event = last.filter(is_end);
     let Some(final_event) = final_event.into_iter().next() else {
         return "These logs don't contain the end of the request: the process ended, or the event \
                 was dropped. Only the attempts above are known."
@@ -48,6 +57,9 @@
                 "no upstream" => explain_no_upstream(events, end),
                 "out of time" => explain_out_of_time(request_events, related),
                 "upstream at its rate limit" => explain_rate_limit(final_event, events, end),
+                UPSTREAMS_ENDED | UPSTREAMS_ENDED_ON_TRIAL => {
+                    explain_suspect(request_events, events)
+                }
                 "attempts used up" => {
                     "The attempts at every upstream that it may be sent to failed.".to_string()
                 }
@@ -311,3 +323,36 @@
          permit that started in time."
     )
 }
+
+/// Explains the refusal of a request that upstreams had when they ended.
+fn explain_suspect(request_events: &[&EventRecord], events: &[EventRecord]) -> String {
+    let refused = request_events
+        .iter()
+        .find_map(|record| match &record.event {
+            Event::SuspectRefused {
+                digest,
+                stage,
+                crashes,
+                version,
+                ..
+            } => Some((digest, stage, crashes, version)),
+            _ => None,
+        });
+    let Some((digest, stage, crashes, version)) = refused else {
+        return "Upstreams ended while they had this request.".to_string();
+    };
+    let is_of_digest = |e: &Event| matches!(e, Event::SuspectChanged { digest: d, to, .. } if d == digest && to == stage);
+    let decided = events.iter().find(|record| is_of_digest(&record.event));
+    let decided = decided.map_or(String::new(), |record| {
+        format!(" {} decided that at {}.", record.host, record.time.wall_ms)
+    });
+    let crashes = match crashes.as_str() {
+        "" => "upstreams that this host lost itself",
+        listed => listed,
+    };
+    format!(
+        "The same request (digest {digest}) was at these upstreams when they ended: {crashes}. It was \
+         {stage}, by version {version} of the directory's list.{decided} It wasn't sent to any \
+         upstream. `carobreel quarantine` lists and clears such requests."
+    )
+}
--- a/src/diagnosis/describe.rs
+++ b/src/diagnosis/describe.rs
@@ -53,6 +53,18 @@
         }
         Event::UpstreamReadmitted { upstream } => format!("readmits upstream {upstream}"),
         Event::RequestsUnlogged { count } => format!("dropped {count} log lines about requests"),
+        Event::RequestBroken {
+            digest, upstream, ..
+        } => format!("its connection to {upstream} broke; its digest is {digest}"),
+        Event::UpstreamEnded {
+            upstream, evidence, ..
+        } => format!("finds that {upstream} has ended: {evidence}"),
+        Event::BreakNotACrash {
+            upstream, evidence, ..
+        } => format!("doesn't know that {upstream} has ended: {evidence}"),
+        Event::SuspectRefused {
+            digest, crashes, ..
+        } => format!("refuses it (digest {digest}), since upstreams ended with it: {crashes}"),
         Event::AttemptFailed {
             upstream,
             fence,
--- a/src/gateway/clearance.rs
+++ b/src/gateway/clearance.rs
@@ -11,6 +11,7 @@
 use super::proxy::Proxy;
 use super::request_tracker::TrackedRequest;
 use super::suspect_book::Verdict;
+use super::suspects::{UPSTREAMS_ENDED, UPSTREAMS_ENDED_ON_TRIAL};
 
 /// Maximum time that a request waits for the result of a trial of the same request, in milliseconds.
 const TRIAL_WAIT_MAX_MS: u64 = 350;
@@ -137,14 +138,8 @@
         due_in_ms: u64,
     ) -> Failure {
         let (reason, retry_after_ms) = match stage {
-            Stage::Quarantined => (
-                "upstreams ended while they ran this request",
-                due_in_ms.max(QUARANTINED_RETRY_AFTER_MS),
-            ),
-            Stage::OnTrial | Stage::Noted => (
-                "upstreams ended while they had this request, which is on trial",
-                ON_TRIAL_RETRY_AFTER_MS,
-            ),
+            Stage::Quarantined => (UPSTREAMS_ENDED, due_in_ms.max(QUARANTINED_RETRY_AFTER_MS)),
+            Stage::OnTrial | Stage::Noted => (UPSTREAMS_ENDED_ON_TRIAL, ON_TRIAL_RETRY_AFTER_MS),
         };
         tracked.record_suspect_refused(&self.state.suspects, id, stage, retry_after_ms);
         Failure::refused(reason, retry_after_ms)
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -20,6 +20,11 @@
 use super::metrics::Metrics;
 use super::suspect_book::{SuspectBook, Verdict};
 
+/// The reason for refusing a request in quarantine.
+pub const UPSTREAMS_ENDED: &str = "upstreams ended while they ran this request";
+/// The reason for refusing a request that is sent only as a trial.
+pub const UPSTREAMS_ENDED_ON_TRIAL: &str =
+    "upstreams ended while they had this request, which is on trial";
 /// Timeout of a report to the leader.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Delay before a report is sent again.
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
   keys      Generate a deployment's certificates and the operators' token
   load      Send load to entry hosts and measure the answers
   plan      Show what a configuration document would change
+  quarantine List and clear requests that are kept from upstreams that they ended
   report    Render captured logs as an HTML report
   slopes    Measure how the cost of control grows with size
   standin   Run stand-in upstreams
@@ -62,6 +63,7 @@
         "keys" => cmd::keys::run(argv),
         "load" => cmd::load::run(argv),
         "plan" => cmd::plan::run(argv),
+        "quarantine" => cmd::quarantine::run(argv),
         "report" => cmd::report::run(argv),
         "slopes" => cmd::slopes::run(argv),
         "standin" => cmd::standin::run(argv),
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -122,6 +122,11 @@
         at(self.network, 10 + n, 80 + 21_700)
     }
 
+    /// Returns the address of the replica for other processes.
+    pub fn directory_address(&self) -> SocketAddr {
+        at(self.network, 1, PEER_PORT)
+    }
+
     pub fn caller_address(&self) -> SocketAddr {
         self.caller_address_of(0)
     }
--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -92,6 +92,7 @@
     network: u8,
     born_ms: Arc<AtomicU64>,
     is_down: Arc<AtomicBool>,
+    restart_delay: Arc<Mutex<Duration>>,
 }
 
 impl FakeUpstream {
@@ -109,6 +110,7 @@
             network: testbed.network,
             born_ms: Arc::new(AtomicU64::new(1_700_000_000_000 + u64::from(n))),
             is_down: Arc::default(),
+            restart_delay: Arc::new(Mutex::new(RESTART_DELAY)),
         };
         upstream.listen(listener);
         upstream
@@ -137,7 +139,8 @@
         self.crash();
         let upstream = self.clone();
         tokio::spawn(async move {
-            tokio::time::sleep(RESTART_DELAY).await;
+            let delay = *upstream.restart_delay.lock().unwrap();
+            tokio::time::sleep(delay).await;
             upstream.born_ms.fetch_add(1_000, Ordering::Relaxed);
             upstream.observed.lock().unwrap().held_ranges.clear();
             upstream.is_down.store(false, Ordering::Relaxed);
@@ -146,6 +149,11 @@
         });
     }
 
+    /// Sets the time from the end of a process until a later one listens at its address.
+    pub fn set_restart_delay(&self, delay: Duration) {
+        *self.restart_delay.lock().unwrap() = delay;
+    }
+
     pub fn set_behavior(&self, behavior: Behavior) {
         *self.behavior.lock().unwrap() = behavior;
     }
