--- a/src/clock.rs
+++ b/src/clock.rs
@@ -96,7 +96,7 @@
 
     /// Advances the clock past a received time and returns the time of the receipt.
     pub fn merge(&self, received: HybridTime) -> HybridTime {
-        let wall_ms = wall_ms();
+        let wall_ms = unix_ms();
         let mut last = match self.last.lock() {
             Ok(last) => last,
             Err(poisoned) => poisoned.into_inner(),
@@ -122,7 +122,8 @@
     time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
 }
 
-fn wall_ms() -> u64 {
+/// Returns the Unix time in milliseconds, or 0 if the clock is before 1970.
+pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| d.as_millis() as u64)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -161,7 +161,7 @@
             rate_limits.observe(&client.incarnation, notice, sent_at, now);
         }
         if let Some(load) = metadata.load {
-            let in_flight_total = load.running + load.waiting;
+            let in_flight_total = load.running.saturating_add(load.waiting);
             client
                 .load()
                 .record_report(in_flight_total, load.slots, now);
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -3,11 +3,11 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use tokio::sync::{watch, Notify};
 
-use crate::clock::{Clock, Mono};
+use crate::clock::{unix_ms, Clock, Mono};
 use crate::directory::model::Incarnation;
 use crate::directory::protocol::{DirectoryRequest, Reply, Update};
 use crate::directory::suspects::{BrokenRequest, SuspectId};
@@ -237,11 +237,8 @@
 
 impl CrashSink<BrokenRequest> for Suspects {
     fn record_crash(&self, service: &str, upstream: &Incarnation, requests: Vec<BrokenRequest>) {
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        // A clock before 1970 tells no time.
-        let at_ms = since_epoch.map_or(0, |d| d.as_millis() as u64);
         let now = self.clock.now();
-        lock(&self.book).record_crash(service, upstream, requests, at_ms, now);
+        lock(&self.book).record_crash(service, upstream, requests, unix_ms(), now);
         self.is_used.store(true, Ordering::Relaxed);
         self.has_reports.notify_one();
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -122,5 +122,5 @@
         .find_map(|p| p.strip_prefix("timeout="))?
         .parse()
         .ok()?;
-    Some(seconds * 1_000)
+    Some(seconds.saturating_mul(1_000))
 }
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -1,9 +1,20 @@
 //! Parses the registration messages of upstreams.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 
+use crate::clock::unix_ms;
 use crate::directory::model::{Incarnation, Phase, Upstream};
 
+/// Maximum length of a name, a version or an address, in bytes.
+const TEXT_BYTES_MAX: usize = 256;
+/// Maximum number of requests that an upstream can execute concurrently.
+const SLOTS_MAX: u32 = 65_536;
+/// How far in the future a process may have started, in milliseconds: clocks differ. A later time would make
+/// each later process at its address look older.
+const BORN_AHEAD_MAX_MS: u64 = 24 * 3_600_000;
+
 #[derive(Debug, Deserialize)]
 struct Heartbeat {
     service: String,
@@ -49,12 +60,18 @@
         "draining" => Phase::Draining,
         other => return Err(format!("state {other:?} is neither ready nor draining")),
     };
-    let address = heartbeat
-        .address
-        .parse()
-        .map_err(|_| format!("address {:?} is not IP:PORT", heartbeat.address))?;
-    if id.is_empty() || heartbeat.service.is_empty() {
-        return Err("id or service is empty".to_string());
+    check_id(id)?;
+    check_born(heartbeat.born)?;
+    let address = parse_address(&heartbeat.address)?;
+    let texts = [&heartbeat.service, &heartbeat.zone, &heartbeat.version];
+    if texts.iter().any(|text| text.len() > TEXT_BYTES_MAX) {
+        return Err("service, zone or version is too long".to_string());
+    }
+    if heartbeat.service.is_empty() {
+        return Err("the service is empty".to_string());
+    }
+    if heartbeat.slots == 0 || heartbeat.slots > SLOTS_MAX {
+        return Err(format!("{} slots are out of range", heartbeat.slots));
     }
     Ok(Upstream {
         incarnation: Incarnation {
@@ -82,8 +99,44 @@
     } else {
         serde_json::from_slice(text).map_err(|e| format!("the message can't be read: {e}"))?
     };
+    check_id(id)?;
+    check_born(leave.born)?;
     Ok(Incarnation {
         id: id.to_string(),
         born_ms: leave.born,
     })
 }
+
+/// Checks that an id can be sent in a header.
+fn check_id(id: &str) -> Result<(), String> {
+    let is_valid = !id.is_empty()
+        && id.len() <= TEXT_BYTES_MAX
+        && id.bytes().all(|byte| byte.is_ascii_graphic());
+    match is_valid {
+        true => Ok(()),
+        false => Err("the id is empty, too long or not printable".to_string()),
+    }
+}
+
+fn check_born(born_ms: u64) -> Result<(), String> {
+    match born_ms > unix_ms().saturating_add(BORN_AHEAD_MAX_MS) {
+        true => Err(format!("the start time {born_ms} lies in the future")),
+        false => Ok(()),
+    }
+}
+
+/// Parses an address that connections can be opened to.
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    let address: Option<SocketAddr> = match text.len() <= TEXT_BYTES_MAX {
+        true => text.parse().ok(),
+        false => None,
+    };
+    let is_usable = |a: &SocketAddr| {
+        let ip = a.ip();
+        a.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+    };
+    address.filter(is_usable).ok_or_else(|| {
+        let shown: String = text.chars().take(TEXT_BYTES_MAX).collect();
+        format!("address {shown:?} is not IP:PORT")
+    })
+}
