--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -62,6 +62,9 @@
     pub id: Option<HeaderValue>,
     /// Whether the request is idempotent.
     pub repeat: RepeatPolicy,
+    /// Whether this upstream has refused the request before. A copy of that refusal, which has the same id, could
+    /// still come on the connection that it used.
+    pub was_refused: bool,
     /// Time until the deadline, in milliseconds.
     pub remaining_ms: u64,
     /// Network round trip to the upstream, in milliseconds.
@@ -113,6 +116,7 @@
         clock: &Clock,
     ) -> AttemptOutcome {
         let proof = match self.repeat {
+            _ if self.was_refused => ConnectionReuse::NewOnly,
             RepeatPolicy::Idempotent => ConnectionReuse::Any,
             RepeatPolicy::AtMostOnce => {
                 ConnectionReuse::AnsweredWithin(CONNECTION_PROOF_MAX_AGE_MS)
@@ -148,7 +152,8 @@
             }
         };
         let metadata = protocol.read_response(response.headers());
-        if metadata.id.is_some() && self.id.is_some() && metadata.id != self.id {
+        let has_own_id = self.id.is_none() || metadata.id == self.id;
+        if metadata.id.is_some() && !has_own_id {
             return AttemptOutcome::Failed("answer to another request", Execution::MayHaveRun);
         }
         client.record_answer(sent_at);
@@ -174,13 +179,14 @@
             remaining: Duration::from_millis(self.remaining_ms)
                 .saturating_sub(started_at.elapsed()),
         };
-        read_response(response, metadata, source).await
+        read_response(response, metadata, has_own_id, source).await
     }
 }
 
 async fn read_response(
     response: Response<Incoming>,
     metadata: ResponseMetadata,
+    has_own_id: bool,
     source: ResponseSource,
 ) -> AttemptOutcome {
     let (mut head, body) = response.into_parts();
@@ -188,7 +194,11 @@
         return AttemptOutcome::Broken("answer cut off");
     };
     if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-        return AttemptOutcome::Failed("upstream refused", Execution::NotRun);
+        // Without the id it may be an earlier refusal that the upstream has sent once more.
+        return match has_own_id {
+            true => AttemptOutcome::Failed("upstream refused", Execution::NotRun),
+            false => AttemptOutcome::Failed("refusal without an id", Execution::MayHaveRun),
+        };
     }
     if let Some(fault) = response_fault(head.status, &head.headers, &metadata) {
         return AttemptOutcome::Failed(fault, Execution::MayHaveRun);
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -233,9 +233,11 @@
                 }
                 tracked.record_retry();
             }
+            let was_refused = tracked.history.has_attempted(&selected.client.incarnation);
             tracked.history.attempted.push(selected.clone());
             let mut has_ended_upstream = false;
-            let (reason, execution) = match self.send_to(req, &selected, permit).await {
+            let (reason, execution) = match self.send_to(req, &selected, permit, was_refused).await
+            {
                 AttemptOutcome::Response(response) => {
                     clearance.mark_run();
                     let is_served = !response.status().is_server_error();
@@ -293,6 +295,7 @@
         req: &CallerRequest<'_>,
         selected: &Selection,
         permit: Option<Permit>,
+        was_refused: bool,
     ) -> AttemptOutcome {
         let Selection {
             client,
@@ -314,6 +317,7 @@
             body: req.body.clone(),
             id: req.metadata.id.clone(),
             repeat: req.route.repeat,
+            was_refused,
             remaining_ms,
             round_trip_ms,
             permit,
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -2,22 +2,12 @@
 
 mod testbed;
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use carobreel::clock::Clock;
-use carobreel::daemon::discard_logger;
-use carobreel::directory::model::{self, Incarnation, Phase, RepeatPolicy};
-use carobreel::directory::protocol::Update;
-use carobreel::directory::state::Versions;
-use carobreel::event::Recorder;
-use carobreel::gateway::attempt::{AttemptOutcome, UpstreamRequest};
-use carobreel::gateway::metrics::Metrics;
-use carobreel::gateway::upstream_client::{UpstreamClient, UpstreamClients};
-use carobreel::gateway::view::DirectoryView;
-use carobreel::pace::LinkPacers;
-use carobreel::platform::headers::PlatformHeaders;
+use carobreel::directory::model::{self, Phase};
+use carobreel::gateway::attempt::AttemptOutcome;
+use testbed::direct::{update, DirectSender};
 use testbed::upstream::{Behavior, FakeUpstream};
 use testbed::{document, get, start_with_two_upstreams, wait_for, Testbed, READY_TIMEOUT};
 use tokio::task::JoinSet;
@@ -169,74 +159,6 @@
     }
 }
 
-/// Returns an update of the directory with one upstream.
-fn update(upstream: &model::Upstream, version: u64) -> Update {
-    Update {
-        versions: Versions {
-            upstreams: version,
-            ..Versions::default()
-        },
-        upstreams: vec![upstream.clone()],
-        ..Update::default()
-    }
-}
-
-/// Sends requests to one upstream, past the gateway's selection.
-struct DirectSender {
-    upstream: model::Upstream,
-    view: DirectoryView,
-    clients: UpstreamClients,
-    client: Arc<UpstreamClient>,
-    clock: Clock,
-}
-
-impl DirectSender {
-    fn new(upstream: &FakeUpstream) -> DirectSender {
-        let ready = model::Upstream {
-            incarnation: Incarnation {
-                id: upstream.id.clone(),
-                born_ms: 1,
-            },
-            service: "files".to_string(),
-            address: upstream.address,
-            zone: "a".to_string(),
-            version: "v1".to_string(),
-            slots: 3,
-            phase: Phase::Ready,
-        };
-        let recorder = Recorder::new("e1", discard_logger());
-        let metrics = Arc::new(Metrics::new());
-        let clients = UpstreamClients::new(recorder, metrics, LinkPacers::default());
-        let clock = Clock::start();
-        let view = DirectoryView::default().updated(update(&ready, 1), clock.now());
-        DirectSender {
-            client: clients.get(&ready, &view),
-            upstream: ready,
-            view,
-            clients,
-            clock,
-        }
-    }
-
-    async fn send(&self) -> AttemptOutcome {
-        let request = UpstreamRequest {
-            method: hyper::Method::GET,
-            uri: "/read/x".parse().unwrap(),
-            headers: Default::default(),
-            body: Default::default(),
-            id: None,
-            repeat: RepeatPolicy::Idempotent,
-            remaining_ms: 1_000,
-            round_trip_ms: 0,
-            permit: None,
-        };
-        let protocol = PlatformHeaders;
-        request
-            .send(&self.client, &self.clients, &protocol, &self.clock)
-            .await
-    }
-}
-
 #[tokio::test]
 async fn a_request_is_not_sent_to_an_upstream_that_left_after_selection() {
     let testbed = Testbed::start(65).await;
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod deployment;
+pub mod direct;
 pub mod upstream;
 
 use std::net::SocketAddr;
--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -56,6 +56,11 @@
     AsksForBackoff(&'static str),
     /// Names this rate limit in its responses.
     NamesRateLimit(&'static str),
+    /// Refuses the first request on each connection. Writes that refusal once more, with or without its id, in front of
+    /// the answer to the next one, which it runs.
+    RepeatsRefusal {
+        with_id: bool,
+    },
     /// Ends when it runs a request whose path ends with this text, and starts again after `RESTART_DELAY`.
     EndsOn(&'static str),
 }
@@ -71,6 +76,8 @@
     pub heads: Vec<String>,
     /// Lengths of request bodies, and whether all bytes of a body are equal.
     pub bodies: Vec<(usize, bool)>,
+    /// The refusals on connections, by the port at the other end.
+    refusals: BTreeMap<u16, String>,
     /// Times at which it ended while it ran a request.
     pub ended_at: Vec<Instant>,
     /// Times at which a connection was closed while its request was being processed.
@@ -302,24 +309,42 @@
             observed.heads.push(head.to_string());
             observed.arrivals.push(Instant::now());
         }
+        let refusal = format!("carobreel-request-id: {id}\r\ncarobreel-not-executed: 1\r\n");
         let key = header(head, "carobreel-shard-key");
         if key.is_some_and(|k| !self.holds_key(k.parse().unwrap())) {
-            let answer = format_response(421, "carobreel-not-executed: 1\r\n", "");
+            let answer = format_response(421, &refusal, "");
             stream.write_all(answer.as_bytes()).await?;
             return Ok(true);
         }
         if behavior == Behavior::RefusesWithProof {
-            let answer = format_response(503, "carobreel-not-executed: 1\r\n", "");
+            let answer = format_response(503, &refusal, "");
             stream.write_all(answer.as_bytes()).await?;
             return Ok(true);
         }
         if let Behavior::AsksForBackoff(seconds) = behavior {
-            let headers = format!("carobreel-not-executed: 1\r\nretry-after: {seconds}\r\n");
+            let headers = format!("{refusal}retry-after: {seconds}\r\n");
             stream
                 .write_all(format_response(503, &headers, "").as_bytes())
                 .await?;
             return Ok(true);
         }
+        if let Behavior::RepeatsRefusal { with_id } = behavior {
+            let port = stream.peer_addr()?.port();
+            let earlier = self.observed.lock().unwrap().refusals.remove(&port);
+            let refusal = earlier.clone().unwrap_or_else(|| {
+                let id = match with_id {
+                    true => format!("carobreel-request-id: {id}\r\n"),
+                    false => String::new(),
+                };
+                format_response(503, &format!("{id}carobreel-not-executed: 1\r\n"), "")
+            });
+            stream.write_all(refusal.as_bytes()).await?;
+            if earlier.is_none() {
+                let mut observed = self.observed.lock().unwrap();
+                observed.refusals.insert(port, refusal);
+                return Ok(true);
+            }
+        }
         let run = (id.clone(), Instant::now());
         self.observed.lock().unwrap().runs.push(run);
         if let Behavior::EndsOn(suffix) = behavior {
@@ -401,6 +426,7 @@
             | Behavior::AsksForBackoff(_)
             | Behavior::Raw
             | Behavior::EndsOn(_)
+            | Behavior::RepeatsRefusal { .. }
             | Behavior::Delayed(_) => (format_response(200, &stamp, &body), true),
         };
         stream.write_all(bytes.as_bytes()).await?;
