--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -143,6 +143,27 @@
         leader_state.map_or(Vec::new(), |l| l.permits.take_counts())
     }
 
+    pub(super) fn end_leadership(&mut self, leader_state: LeaderState<T>) {
+        self.output.events.push(Event::LeaderLost {
+            cell: LOG_NAME.to_string(),
+            term: leader_state.term,
+        });
+        let pending_requests = leader_state
+            .pending_requests
+            .into_iter()
+            .map(|pending| pending.reply_to);
+        let pending_acks = leader_state.pending_acks.into_iter().map(|s| s.reply_to);
+        let proposed = leader_state
+            .proposals
+            .into_values()
+            .map(|(_, reply_to)| reply_to);
+        let leader = self.leader_address();
+        for reply_to in pending_requests.chain(proposed).chain(pending_acks) {
+            let reply = Reply::NotLeader(leader.clone());
+            self.output.replies.push((reply_to, reply));
+        }
+    }
+
     /// Extends the lease after a majority has answered a heartbeat: it grants no vote for an election timeout
     /// after its answer, so no other replica can be elected meanwhile. The lease counts from the sending of
     /// the heartbeat, which precedes all answers.
--- a/tests/outbreak/mod.rs
+++ b/tests/outbreak/mod.rs
@@ -94,7 +94,8 @@
     outcome: Outcome,
 }
 
-fn digest(target: &str) -> RequestDigest {
+/// Returns the digest of a request for `target`.
+pub fn digest(target: &str) -> RequestDigest {
     RequestDigest::of(RequestParts {
         method: "GET",
         host: "one.example",
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -13,21 +13,10 @@
 };
 use carobreel::directory::trials::Trials;
 use carobreel::gateway::suspect_book::{SuspectBook, Verdict};
-use carobreel::request_digest::{RequestDigest, RequestParts};
-use outbreak::{Outbreak, Trouble};
+use outbreak::{digest, Outbreak, Trouble};
 
 const HOUR_MS: u64 = 3_600_000;
 
-fn digest(target: &str) -> RequestDigest {
-    RequestDigest::of(RequestParts {
-        method: "GET",
-        host: "one.example",
-        target,
-        caller: b"",
-        body: b"",
-    })
-}
-
 fn id(target: &str) -> SuspectId {
     SuspectId {
         service: "maps".to_string(),
