--- a/review/lab.rs
+++ b/review/lab.rs
@@ -134,6 +134,8 @@
     pub record: Record,
     pub root: PathBuf,
     pub folder: PathBuf,
+    /// The folder that all others are in.
+    top: PathBuf,
     net: [u8; 2],
     pub trouble: bool,
 }
@@ -153,6 +155,7 @@
         let lab = Lab {
             record,
             root: std::env::current_dir().expect("a current folder"),
+            top: folder.clone(),
             folder,
             net: free_net(),
             trouble,
@@ -164,7 +167,7 @@
     /// Uses other addresses and an empty folder from now on.
     pub fn renew(&mut self, n: u32) {
         self.net = free_net();
-        self.folder = self.folder.join(format!("round-{n}"));
+        self.folder = self.top.join(format!("round-{n}"));
         std::fs::create_dir_all(&self.folder).expect("a working folder");
     }
 
@@ -283,7 +286,7 @@
 impl Drop for Lab {
     fn drop(&mut self) {
         if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.folder);
+            let _ = std::fs::remove_dir_all(&self.top);
         }
     }
 }
