--- a/src/bin/carobreel-control.rs
+++ b/src/bin/carobreel-control.rs
@@ -1,7 +1,7 @@
 //! The control daemon.
 
 use carobreel::control::{Control, Settings};
-use carobreel::daemon::{run_daemon, wait_for_stop_signal, DaemonContext};
+use carobreel::daemon::{run_daemon, DaemonContext, StopSignals};
 
 const USAGE: &str = "\
 Run replicas of the cells on a host with a disk.
@@ -17,6 +17,7 @@
 }
 
 fn serve(context: DaemonContext) -> Result<(), String> {
+    let stop_signals = StopSignals::listen().map_err(|e| e.to_string())?;
     let Some(data_folder) = context.process.data_folder else {
         return Err("data_folder is missing in the settings".to_string());
     };
@@ -27,7 +28,7 @@
         data_folder,
     };
     let control = Control::spawn(settings, context.recorder).map_err(|e| format!("{e}"))?;
-    wait_for_stop_signal().map_err(|e| e.to_string())?;
+    stop_signals.wait();
     control.stop();
     Ok(())
 }
--- a/src/bin/carobreel-entry.rs
+++ b/src/bin/carobreel-entry.rs
@@ -1,7 +1,7 @@
 //! The entry daemon.
 
 use carobreel::credentials::read_token;
-use carobreel::daemon::{run_daemon, wait_for_stop_signal, DaemonContext};
+use carobreel::daemon::{run_daemon, DaemonContext, StopSignals};
 use carobreel::entry::{EntryProcess, Settings};
 
 const USAGE: &str = "\
@@ -18,6 +18,7 @@
 }
 
 fn serve(context: DaemonContext) -> Result<(), String> {
+    let stop_signals = StopSignals::listen().map_err(|e| e.to_string())?;
     let token = read_token(&context.process.keys_folder).map_err(|e| format!("{e}"))?;
     let settings = Settings {
         host: context.process.name,
@@ -27,7 +28,7 @@
         traffic_threads: context.process.traffic_threads,
     };
     let entry = EntryProcess::spawn(settings, context.recorder).map_err(|e| format!("{e}"))?;
-    wait_for_stop_signal().map_err(|e| e.to_string())?;
+    stop_signals.wait();
     entry.stop();
     Ok(())
 }
--- a/src/cmd/directory.rs
+++ b/src/cmd/directory.rs
@@ -28,10 +28,10 @@
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let Some(mut context) = load_context("directory", USAGE, argv)? else {
-        return Ok(());
-    };
     block_on(async move {
+        let Some(mut context) = load_context("directory", USAGE, argv)? else {
+            return Ok(());
+        };
         let to_error = |e: String| CliError::Failed(e);
         let host_settings = &context.settings;
         let missing_setting =
@@ -66,7 +66,7 @@
             .map_err(|e| to_error(format!("can't listen on {operators}: {e}")))?;
         let router = api::router(directory.handle(), recorder.clone());
         let server = tokio::spawn(async move { axum::serve(listener, router).await });
-        while let ServeEvent::SettingsChanged(changed) = context.file.next_event(&recorder).await? {
+        while let ServeEvent::SettingsChanged(changed) = context.events.next(&recorder).await {
             *lock(&seeds) = changed.seeds;
         }
         server.abort();
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -24,10 +24,10 @@
 
 /// Runs the command.
 pub fn run(argv: Vec<OsString>) -> CliResult {
-    let Some(mut context) = load_context("gateway", USAGE, argv)? else {
-        return Ok(());
-    };
     block_on(async move {
+        let Some(mut context) = load_context("gateway", USAGE, argv)? else {
+            return Ok(());
+        };
         let to_error = |e: String| CliError::Failed(e);
         let tls = credentials::unverified_tls().map_err(|e| to_error(e.to_string()))?;
         let recorder = context.recorder.clone();
@@ -40,7 +40,7 @@
             recorder.clone(),
         );
         let gateway = starting.await.map_err(|e| to_error(e.to_string()))?;
-        while let ServeEvent::SettingsChanged(changed) = context.file.next_event(&recorder).await? {
+        while let ServeEvent::SettingsChanged(changed) = context.events.next(&recorder).await {
             gateway.set_seeds(changed.seeds);
         }
         gateway.stop(Duration::from_millis(settings.grace_ms)).await;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,6 +1,8 @@
 //! Code shared by the commands that serve: the settings file, its reload, and signals.
 
 use std::ffi::OsString;
+use std::fs::File;
+use std::io::Read;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -9,8 +11,8 @@
 use carobreel::event::{Event, Recorder};
 use carobreel::host::HostSettings;
 use lexopt::prelude::*;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::MissedTickBehavior;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::time::{Interval, MissedTickBehavior};
 
 use crate::cli::{CliError, CliResult};
 
@@ -18,21 +20,35 @@
 const SETTINGS_VARIABLE: &str = "CAROBREEL_SETTINGS";
 /// Interval of checks for a changed settings file; a change needs no signal.
 const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Maximum size of a settings file, in bytes.
+const SETTINGS_BYTES_MAX: u64 = 1 << 20;
 
 /// What a serving command starts with.
 pub struct ServeContext {
     /// The settings.
     pub settings: HostSettings,
-    /// The file that the settings were read from.
-    pub file: SettingsFile,
+    /// What the command reacts to while it serves.
+    pub events: ServeEvents,
     /// The monotonic clock of the process.
     pub clock: Clock,
     /// The recorder for the process's events.
     pub recorder: Recorder,
 }
 
+/// Signals and changes of the settings file.
+///
+/// The receivers last as long as the process serves: a signal that arrives while a command handles another
+/// event is returned by the next call.
+pub struct ServeEvents {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+    poll: Interval,
+    file: SettingsFile,
+}
+
 /// A settings file and its last known content.
-pub struct SettingsFile {
+struct SettingsFile {
     path: PathBuf,
     text: String,
 }
@@ -45,7 +61,8 @@
     SettingsChanged(Box<HostSettings>),
 }
 
-/// Parses the command line and reads the settings; returns `None` after printing the usage text.
+/// Parses the command line and reads the settings; returns `None` after printing the usage text. Must be called
+/// in a runtime, which receives the signals.
 pub fn load_context(
     role: &str,
     usage: &str,
@@ -67,8 +84,13 @@
         return Err(CliError::Usage("--settings FILE is missing".to_string()));
     };
     abort_on_panic();
-    let text = std::fs::read_to_string(&path)
+    let text = read_settings(&path)
         .map_err(|e| CliError::Failed(format!("{}: {e}", path.display())))?;
+    let events = ServeEvents::listen(SettingsFile {
+        path,
+        text: text.clone(),
+    })
+    .map_err(|e| CliError::Failed(e.to_string()))?;
     let settings = HostSettings::parse(&text).map_err(|e| CliError::Failed(e.to_string()))?;
     let recorder = Recorder::new(&settings.host, stdout_logger());
     recorder.record(Event::ProcessStarted {
@@ -77,7 +99,7 @@
     });
     Ok(Some(ServeContext {
         settings,
-        file: SettingsFile { path, text },
+        events,
         clock: Clock::start(),
         recorder,
     }))
@@ -92,28 +114,37 @@
     runtime.block_on(serve)
 }
 
-impl SettingsFile {
-    /// Waits for a signal to stop or a valid change of the settings file.
-    pub async fn next_event(&mut self, recorder: &Recorder) -> Result<ServeEvent, CliError> {
-        let to_error = |e: std::io::Error| CliError::Failed(e.to_string());
-        let mut terminate = signal(SignalKind::terminate()).map_err(to_error)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(to_error)?;
-        let mut reload = signal(SignalKind::hangup()).map_err(to_error)?;
+impl ServeEvents {
+    fn listen(file: SettingsFile) -> std::io::Result<ServeEvents> {
         let mut poll = tokio::time::interval(POLL_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Ok(ServeEvents {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+            poll,
+            file,
+        })
+    }
+
+    /// Waits for a signal to stop or a valid change of the settings file. A stop comes before changes.
+    pub async fn next(&mut self, recorder: &Recorder) -> ServeEvent {
         loop {
             tokio::select! {
-                _ = terminate.recv() => return Ok(ServeEvent::Stop),
-                _ = interrupt.recv() => return Ok(ServeEvent::Stop),
-                _ = reload.recv() => {}
-                _ = poll.tick() => {}
+                biased;
+                _ = self.terminate.recv() => return ServeEvent::Stop,
+                _ = self.interrupt.recv() => return ServeEvent::Stop,
+                _ = self.reload.recv() => {}
+                _ = self.poll.tick() => {}
             }
-            if let Some(settings) = self.reload_if_changed(recorder) {
-                return Ok(ServeEvent::SettingsChanged(Box::new(settings)));
+            if let Some(settings) = self.file.reload_if_changed(recorder) {
+                return ServeEvent::SettingsChanged(Box::new(settings));
             }
         }
     }
+}
 
+impl SettingsFile {
     fn reload_if_changed(&mut self, recorder: &Recorder) -> Option<HostSettings> {
         let text = read_or_record(&self.path, recorder)?;
         if text == self.text {
@@ -139,7 +170,7 @@
 }
 
 fn read_or_record(path: &Path, recorder: &Recorder) -> Option<String> {
-    match std::fs::read_to_string(path) {
+    match read_settings(path) {
         Ok(text) => Some(text),
         Err(e) => {
             recorder.record(Event::SettingsRefused {
@@ -149,3 +180,14 @@
         }
     }
 }
+
+/// Reads a settings file of at most `SETTINGS_BYTES_MAX` bytes.
+fn read_settings(path: &Path) -> std::io::Result<String> {
+    let mut text = String::new();
+    let file = File::open(path)?;
+    file.take(SETTINGS_BYTES_MAX + 1).read_to_string(&mut text)?;
+    match text.len() as u64 > SETTINGS_BYTES_MAX {
+        true => Err(std::io::Error::other("the settings file is too large")),
+        false => Ok(text),
+    }
+}
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use carobreel::cell::state::Announcement;
-use carobreel::daemon::wait_for_stop_signal;
+use carobreel::daemon::StopSignals;
 use carobreel::standin::{RunLog, Settings, StandIn};
 use lexopt::prelude::*;
 
@@ -84,9 +84,10 @@
         let text = "--service NAME, --zone ZONE or ADMIN is missing";
         return Err(CliError::Usage(text.to_string()));
     }
+    let stop_signals = StopSignals::listen()?;
     let runtime = tokio::runtime::Runtime::new()?;
     let standins = runtime.block_on(start_standins(&args))?;
-    wait_for_stop_signal()?;
+    stop_signals.wait();
     runtime.block_on(async {
         for standin in &standins {
             standin.leave().await;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use lexopt::prelude::*;
 use slog::{o, Discard, Drain, Logger};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use crate::credentials::{self, Tls};
 use crate::event::Recorder;
@@ -138,20 +138,48 @@
     }));
 }
 
-/// Blocks until the process receives SIGTERM or SIGINT.
-pub fn wait_for_stop_signal() -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
-    })
+/// Receives the signals that stop a process.
+#[derive(Debug)]
+pub struct StopSignals {
+    runtime: tokio::runtime::Runtime,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Starts to receive SIGTERM and SIGINT, which no longer end the process at once.
+    pub fn listen() -> std::io::Result<StopSignals> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (terminate, interrupt) = {
+            let _guard = runtime.enter();
+            (
+                signal(SignalKind::terminate())?,
+                signal(SignalKind::interrupt())?,
+            )
+        };
+        Ok(StopSignals {
+            runtime,
+            terminate,
+            interrupt,
+        })
+    }
+
+    /// Blocks until one of the signals has arrived since the call to [`StopSignals::listen`].
+    pub fn wait(self) {
+        let StopSignals {
+            runtime,
+            mut terminate,
+            mut interrupt,
+        } = self;
+        runtime.block_on(async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        });
+    }
 }
 
 /// Runs a daemon's command line and returns the process's exit code.
--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -196,3 +196,83 @@
         assert!(code.is_some_and(|c| c.success()), "{name}: {code:?}");
     }
 }
+
+/// A process that is stopped while its settings change.
+struct StoppedProcess {
+    name: String,
+    child: Child,
+    /// The settings file's new content, if it isn't valid.
+    broken_settings: Option<&'static str>,
+    signals: &'static [&'static str],
+}
+
+impl Drop for StoppedProcess {
+    fn drop(&mut self) {
+        // Fails if the process has ended, as it should have.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts a process of the role and waits until it serves.
+fn spawn_serving(dir: &Workdir, role: &str, n: u8) -> Child {
+    let name = format!("{role}-{n}");
+    write_settings(dir, &name, n, &[n], n < 100);
+    let child = spawn_process(dir, role, &name);
+    let metrics = format!("127.78.0.{n}:21804").parse().unwrap();
+    wait_for("the process serves", READY_TIMEOUT, || {
+        send(metrics, HttpRequest::get("/metrics")).is_some()
+    });
+    child
+}
+
+/// The receivers of signals were created anew for each wait: a SIGTERM that arrived together with a reload was
+/// lost in about half of the cases.
+#[test]
+fn a_stop_signal_that_arrives_with_a_reload_is_not_lost() {
+    let dir = Workdir::new();
+    let orders: [&[&str]; 5] = [
+        &["HUP", "TERM"],
+        &["TERM", "HUP"],
+        &["HUP", "TERM", "HUP", "TERM"],
+        &["HUP", "INT"],
+        &["TERM"],
+    ];
+    let mut processes = Vec::new();
+    for (role, first) in [("directory", 11), ("gateway", 111)] {
+        for (i, signals) in orders.into_iter().cycle().take(15).enumerate() {
+            let n = first + i as u8;
+            processes.push(StoppedProcess {
+                name: format!("{role}-{n}"),
+                child: spawn_serving(&dir, role, n),
+                broken_settings: (i % 3 == 2).then_some("{"),
+                signals,
+            });
+        }
+    }
+    // While a process is paused, its signals collect, and it receives all of them at once.
+    for p in &processes {
+        send_signal(&p.child, "STOP");
+        let n: u8 = p.name.rsplit_once('-').unwrap().1.parse().unwrap();
+        match p.broken_settings {
+            Some(text) => drop(dir.write_file(&format!("{}.json", p.name), text)),
+            None => write_settings(&dir, &p.name, n, &[n, 9], false),
+        }
+        for signal in p.signals {
+            send_signal(&p.child, signal);
+        }
+    }
+    // The check for a changed file is due as well.
+    std::thread::sleep(Duration::from_millis(1_100));
+    for p in &processes {
+        send_signal(&p.child, "CONT");
+    }
+    for p in &mut processes {
+        let mut code = None;
+        wait_for(&p.name, GRACE_TIMEOUT, || {
+            code = p.child.try_wait().unwrap();
+            code.is_some()
+        });
+        assert!(code.is_some_and(|c| c.success()), "{}: {code:?}", p.name);
+    }
+}
