--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -415,7 +415,8 @@
                 self.metrics.calls.get_or_create(&labels).inc();
                 if self.stats.count_call_result(&result) {
                     self.recorder.record(Event::CallFailed {
-                        number: call.number,
+                        term: call.id.term,
+                        number: call.id.number,
                         upstream: call.upstream.clone(),
                         address: call.address.to_string(),
                         order: call.kind.name().to_string(),
@@ -425,7 +426,7 @@
                         result: result.name().to_string(),
                     });
                 }
-                Some(Input::CallFinished(call.number, result))
+                Some(Input::CallFinished(call.id, result))
             }
         }
     }
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -65,6 +65,16 @@
 /// With more upstreams than this, each one initially gets a single range: the leader renews every range.
 const SINGLE_RANGE_ABOVE: usize = 128;
 
+/// Identifies a call among all calls that a process makes. Numbers begin anew with each leadership, while calls
+/// of an earlier one may still be in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId {
+    /// The leader's term.
+    pub term: u64,
+    /// The number of the call in that term.
+    pub number: u64,
+}
+
 /// The kind of a call to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -92,8 +102,8 @@
 /// A call to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
-    /// The number that identifies the call in its result.
-    pub number: u64,
+    /// Identifies the call in its result.
+    pub id: CallId,
     /// The address to call.
     pub address: SocketAddr,
     /// The id of the upstream that the call is for. Another upstream at the address must refuse it.
@@ -127,6 +137,8 @@
     Misdirected,
     /// No valid answer arrived; the call may have been carried out or may still be.
     Unknown,
+    /// What arrived is the answer to another call; this one may have been carried out or may still be.
+    Mismatched,
 }
 
 impl CallResult {
@@ -139,6 +151,7 @@
             CallResult::LeaseEnded => "lease_ended",
             CallResult::Misdirected => "elsewhere",
             CallResult::Unknown => "unanswered",
+            CallResult::Mismatched => "answer_to_another_call",
         }
     }
 }
@@ -174,8 +187,8 @@
 enum MoveStage {
     /// Waits for the results of grant calls for these keys.
     AwaitingGrants,
-    /// The release call is in flight.
-    Releasing,
+    /// This release call is in flight.
+    Releasing(CallId),
     /// The release is sent, or sent again after a failure, at this time.
     ReleaseDue(Mono),
     /// The old owner may hold the keys until this time.
@@ -222,10 +235,7 @@
         grant_id: GrantId,
         to: Key,
     },
-    Release {
-        service: String,
-        from: Key,
-    },
+    Release,
 }
 
 /// The calls and commands that a step returns.
@@ -250,7 +260,7 @@
     grant_budget_milli: u64,
     budget_refilled_at: Mono,
     moves: Vec<Move>,
-    pending_calls: BTreeMap<u64, PendingCall>,
+    pending_calls: BTreeMap<CallId, PendingCall>,
     /// Handover data of released keys, by service, first and last key.
     handovers: BTreeMap<(String, Key, Key), String>,
     refused_grants: BTreeSet<GrantId>,
@@ -258,7 +268,7 @@
     speeds: Speeds,
     /// When each service first had an upstream that may own keys.
     discovered_at: BTreeMap<String, Mono>,
-    last_call_number: u64,
+    last_call: CallId,
     planned_at: Mono,
     decayed_at: Mono,
     initially_assigned: BTreeSet<String>,
@@ -270,8 +280,9 @@
 }
 
 impl Lessor {
-    /// Returns a new leader's record. Earlier leaders' grants may last as long as one sent at `elected_at`.
-    pub fn new(hold_ms: u64, elected_at: Mono) -> Lessor {
+    /// Returns the record of the leader of `term`. Earlier leaders' grants may last as long as one sent at
+    /// `elected_at`.
+    pub fn new(hold_ms: u64, term: u64, elected_at: Mono) -> Lessor {
         Lessor {
             hold_ms,
             elected_at,
@@ -287,7 +298,7 @@
             rates: BTreeMap::new(),
             speeds: Speeds::default(),
             discovered_at: BTreeMap::new(),
-            last_call_number: 1,
+            last_call: CallId { term, number: 0 },
             planned_at: elected_at,
             decayed_at: elected_at,
             initially_assigned: BTreeSet::new(),
@@ -323,15 +334,13 @@
             .add(&speed.upstream, speed.total_ms, speed.answers);
     }
 
-    /// Processes the result of a call.
-    pub fn handle_call_result(&mut self, number: u64, result: CallResult, now: Mono) {
-        match self.pending_calls.remove(&number) {
+    /// Processes the result of a call. Results of calls that an earlier leader made are ignored.
+    pub fn handle_call_result(&mut self, id: CallId, result: CallResult, now: Mono) {
+        match self.pending_calls.remove(&id) {
             Some(PendingCall::Grant {
                 owner, grant_id, ..
             }) => self.handle_grant_result(owner, &grant_id, result, now),
-            Some(PendingCall::Release { service, from }) => {
-                self.handle_release_result(&service, from, result, now)
-            }
+            Some(PendingCall::Release) => self.handle_release_result(id, result, now),
             None => {}
         }
     }
--- a/src/directory/lessor/grants.rs
+++ b/src/directory/lessor/grants.rs
@@ -3,9 +3,9 @@
 use super::*;
 
 impl Lessor {
-    pub(super) fn next_call_number(&mut self) -> u64 {
-        self.last_call_number += 1;
-        self.last_call_number
+    pub(super) fn next_call(&mut self) -> CallId {
+        self.last_call.number += 1;
+        self.last_call
     }
 
     /// Returns the parts of `range` that aren't changing owner.
@@ -117,7 +117,7 @@
             CallResult::NotSent | CallResult::LeaseEnded => {}
             // Another process has the address, so this one has ended.
             CallResult::Misdirected => bounds.heard_at = Mono(0),
-            CallResult::Unknown => {
+            CallResult::Unknown | CallResult::Mismatched => {
                 bounds.unconfirmed_until = bounds.unconfirmed_until.max(until);
                 bounds.unanswered += 1;
             }
@@ -136,25 +136,18 @@
         }
     }
 
-    pub(super) fn handle_release_result(
-        &mut self,
-        service: &str,
-        from: Key,
-        result: CallResult,
-        now: Mono,
-    ) {
+    /// Continues the move that waits for this call. A call may last longer than its move, whose keys may be
+    /// moving again by then.
+    pub(super) fn handle_release_result(&mut self, id: CallId, result: CallResult, now: Mono) {
         let mut moves = self.moves.iter_mut();
-        let releasing = |m: &&mut Move| {
-            m.service == service && m.from == from && m.stage == MoveStage::Releasing
-        };
-        let Some(m) = moves.find(releasing) else {
+        let Some(m) = moves.find(|m| m.stage == MoveStage::Releasing(id)) else {
             return;
         };
         match result {
             CallResult::Done(handover) => {
                 m.stage = MoveStage::AwaitingExpiry(m.unconfirmed_until.max(now));
                 if let Some(handover) = handover {
-                    let keys = (service.to_string(), m.from, m.to);
+                    let keys = (m.service.clone(), m.from, m.to);
                     self.handovers.insert(keys, handover);
                 }
             }
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -174,14 +174,10 @@
             if now >= m.expires_at {
                 m.stage = MoveStage::AwaitingExpiry(now);
             } else if let (Some(donor), true, true) = (donor, may_release, now >= at) {
-                let number = self.next_call_number();
-                let pending = PendingCall::Release {
-                    service: m.service.clone(),
-                    from: m.from,
-                };
-                self.pending_calls.insert(number, pending);
+                let id = self.next_call();
+                self.pending_calls.insert(id, PendingCall::Release);
                 output.calls.push(Call {
-                    number,
+                    id,
                     address: donor.address,
                     upstream: donor.incarnation.id.clone(),
                     service: m.service.clone(),
@@ -191,10 +187,10 @@
                     kind: CallKind::Release,
                     timeout_ms: m.expires_at.since(now).max(GRANT_TIMEOUT_MS),
                 });
-                m.stage = MoveStage::Releasing;
+                m.stage = MoveStage::Releasing(id);
             }
         }
-        if m.stage == MoveStage::Releasing && now >= m.expires_at {
+        if matches!(m.stage, MoveStage::Releasing(_)) && now >= m.expires_at {
             m.stage = MoveStage::AwaitingExpiry(now);
         }
         let MoveStage::AwaitingExpiry(until) = m.stage else {
@@ -249,7 +245,7 @@
                 let (service, _, from) = grant_id;
                 *service == m.service && *from <= m.to && *to >= m.from
             }
-            PendingCall::Release { .. } => false,
+            PendingCall::Release => false,
         })
     }
 }
--- a/src/directory/lessor/renew.rs
+++ b/src/directory/lessor/renew.rs
@@ -37,7 +37,7 @@
         due.truncate(limit);
         self.grant_budget_milli -= due.len() as u64 * 1_000;
         for (_, grant_id) in due {
-            let number = self.next_call_number();
+            let id = self.next_call();
             let Some(renewal) = self.renewals.get_mut(&grant_id) else {
                 continue;
             };
@@ -53,9 +53,9 @@
                 grant_id,
                 to,
             };
-            self.pending_calls.insert(number, pending);
+            self.pending_calls.insert(id, pending);
             output.calls.push(Call {
-                number,
+                id,
                 address: upstream.address,
                 upstream: upstream.incarnation.id.clone(),
                 service,
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -166,9 +166,9 @@
                     }
                 }
                 Input::Request(request, reply_to) => self.handle_request(request, reply_to, now),
-                Input::CallFinished(number, result) => {
+                Input::CallFinished(id, result) => {
                     if let Some(leader_state) = &mut self.leader_state {
-                        leader_state.lessor.handle_call_result(number, result, now);
+                        leader_state.lessor.handle_call_result(id, result, now);
                     }
                 }
             }
@@ -442,7 +442,7 @@
         self.leader_state = Some(LeaderState {
             term,
             elected_at,
-            lessor: Lessor::new(self.hold_ms, elected_at),
+            lessor: Lessor::new(self.hold_ms, term, elected_at),
             lessor_stepped_at: Mono(0),
             lessor_pending_index: 0,
             pending_requests: VecDeque::new(),
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -6,7 +6,7 @@
 use crate::event::Event;
 use crate::raft::{Message, Timing};
 
-use super::super::lessor::{Call, CallResult, Lessor};
+use super::super::lessor::{Call, CallId, CallResult, Lessor};
 use super::super::membership::MembershipPlanner;
 use super::super::permits::PermitIssuer;
 use super::super::protocol::{DirectoryRequest, Reply};
@@ -47,8 +47,8 @@
     Messages(Vec<Message>),
     /// A request, and the value that identifies its sender in the reply.
     Request(DirectoryRequest, T),
-    /// The number of a call to an upstream, and its result.
-    CallFinished(u64, CallResult),
+    /// A call to an upstream, and its result.
+    CallFinished(CallId, CallResult),
 }
 
 /// A request that is answered later.
--- a/src/event.rs
+++ b/src/event.rs
@@ -115,7 +115,7 @@
     203 Info UpstreamRegistered "The registration of an upstream changed." { upstream: String, born_ms: u64, service: String, phase: String }
     204 Info UpstreamDeregistered "An upstream announced that it is leaving." { upstream: String }
     205 Info KeysAssigned "A range of keys was assigned to an owner." { service: String, from: u16, to: u16, owner: String, fence: u64 }
-    206 Warning CallFailed "A call to an upstream about its keys failed." { number: u64, upstream: String, address: String, order: String, from: u16, to: u16, fence: u64, result: String }
+    206 Warning CallFailed "A call to an upstream about its keys failed." { term: u64, number: u64, upstream: String, address: String, order: String, from: u16, to: u16, fence: u64, result: String }
     207 Info DirectoryFollowed "An entry host follows a leader of the directory." { leader: String }
     208 Warning DirectoryLost "An entry host has no leader of the directory to follow and continues with its last known state." { age_ms: u64 }
     209 Warning StorageFailed "The data folder failed; the replica restarts from its stored state." { reason: String }
--- a/tests/model/event.rs
+++ b/tests/model/event.rs
@@ -1,6 +1,6 @@
 //! Events of the simulation, ordered by time.
 
-use carobreel::directory::lessor::{Call, CallResult};
+use carobreel::directory::lessor::{Call, CallId, CallResult};
 use carobreel::directory::protocol::{DirectoryRequest, Reply};
 use carobreel::raft::Message;
 
@@ -36,7 +36,7 @@
     Request(usize, DirectoryRequest, u64),
     Reply(u64, Reply),
     CallArrives(usize, Call, bool),
-    CallDone(usize, u64, u64, CallResult),
+    CallDone(usize, u64, CallId, CallResult),
     Restart(usize),
     /// A full disk accepts writes again.
     DiskFreed(usize),
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -330,10 +330,10 @@
             }
             Event::Deliver(n, messages) => self.step_replica(n, Some(Input::Messages(messages))),
             Event::Request(n, request, request_id) => self.deliver_request(n, request, request_id),
-            Event::CallDone(n, run, number, result) => {
+            Event::CallDone(n, run, id, result) => {
                 self.open_calls -= 1;
                 if self.runs[n] == run {
-                    self.step_replica(n, Some(Input::CallFinished(number, result)));
+                    self.step_replica(n, Some(Input::CallFinished(id, result)));
                 }
             }
             Event::CallArrives(n, call, is_delayed) => self.call_arrives(n, call, is_delayed),
@@ -415,7 +415,7 @@
             let delay = self.rng.random_range(1..60);
             if Mono(self.now + delay) >= output.calls_until {
                 let result = CallResult::NotSent;
-                self.schedule(delay, Event::CallDone(n, self.runs[n], call.number, result));
+                self.schedule(delay, Event::CallDone(n, self.runs[n], call.id, result));
                 continue;
             }
             let is_delayed = self.rng.random_range(0..1_000) < self.faults.delayed_calls_per_mille;
--- a/tests/model/traffic.rs
+++ b/tests/model/traffic.rs
@@ -62,6 +62,6 @@
                 None => (CallResult::Unknown, call.timeout_ms),
             }
         };
-        self.schedule(after, Event::CallDone(n, run, call.number, result));
+        self.schedule(after, Event::CallDone(n, run, call.id, result));
     }
 }
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,197 @@
+//! Tests which answer of an upstream counts as the answer to a call about its keys.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use assert_matches::assert_matches;
+use carobreel::clock::Mono;
+use carobreel::directory::lessor::{Call, CallId, CallKind, CallResult, Lessor};
+use carobreel::directory::model::{Incarnation, Phase, RouteConfig, Service, Upstream};
+use carobreel::directory::state::{Command, State, StoredConfig};
+
+const HOLD_MS: u64 = 2_500;
+const STEP_MS: u64 = 40;
+const SERVICE: &str = "maps";
+
+fn upstream(n: u64, phase: Phase) -> Upstream {
+    Upstream {
+        incarnation: Incarnation {
+            id: format!("u{n}"),
+            born_ms: n,
+        },
+        service: SERVICE.to_string(),
+        address: SocketAddr::from(([10, 0, 0, n as u8], 80)),
+        zone: "a".to_string(),
+        version: "v1".to_string(),
+        slots: 3,
+        phase,
+    }
+}
+
+/// A leader's record of grants, with the replicated state that its commands change at once.
+struct Leadership {
+    state: State,
+    index: u64,
+    now: Mono,
+    lessor: Lessor,
+    live: Vec<u64>,
+}
+
+impl Leadership {
+    /// Returns the first leadership over two upstreams, which hold all keys.
+    fn with_all_keys_granted() -> Leadership {
+        let mut leadership = Leadership {
+            state: State::default(),
+            index: 0,
+            now: Mono(1_000),
+            lessor: Lessor::new(HOLD_MS, 1, Mono(1_000)),
+            live: vec![1, 2],
+        };
+        let service = Service {
+            health_path: "/health".to_string(),
+            connections_max: 100,
+            sharded: true,
+            warmup_ms: 3_000,
+        };
+        let config = RouteConfig {
+            version: 1,
+            services: BTreeMap::from([(SERVICE.to_string(), service)]),
+            ..RouteConfig::default()
+        };
+        leadership.apply(Command::Configure(Box::new(StoredConfig {
+            config,
+            source: Vec::new(),
+        })));
+        for n in [1, 2] {
+            leadership.apply(Command::Register(upstream(n, Phase::Ready)));
+        }
+        let mut grants = 0;
+        while grants < 4 {
+            for call in leadership.step() {
+                assert_matches!(call.kind, CallKind::Grant { .. });
+                leadership.finish(call.id, CallResult::Done(None));
+                grants += 1;
+            }
+        }
+        leadership
+    }
+
+    /// Replaces the leadership by the one of the next term in the same process.
+    fn reelect(&mut self) {
+        self.lessor = Lessor::new(HOLD_MS, 2, self.now);
+    }
+
+    fn apply(&mut self, command: Command) {
+        self.index += 1;
+        self.state.apply(self.index, command);
+    }
+
+    fn finish(&mut self, id: CallId, result: CallResult) {
+        self.lessor.handle_call_result(id, result, self.now);
+    }
+
+    /// Advances the time by one step and returns the calls to make.
+    fn step(&mut self) -> Vec<Call> {
+        self.now = self.now.plus(STEP_MS);
+        for n in self.live.clone() {
+            let incarnation = upstream(n, Phase::Ready).incarnation;
+            self.lessor.record_announcement(&incarnation, self.now);
+        }
+        let output = self.lessor.step(&self.state, self.now, true);
+        for command in output.commands {
+            self.apply(command);
+        }
+        output.calls
+    }
+
+    /// Answers all grants until a release is to be sent, and returns the releases of that step.
+    fn next_releases(&mut self) -> Vec<Call> {
+        for _ in 0..100 {
+            let (releases, grants): (Vec<Call>, Vec<Call>) = self
+                .step()
+                .into_iter()
+                .partition(|call| call.kind == CallKind::Release);
+            for call in grants {
+                self.finish(call.id, CallResult::Done(None));
+            }
+            if !releases.is_empty() {
+                return releases;
+            }
+        }
+        panic!("no release was sent")
+    }
+
+    fn owner(&self, key: u16) -> String {
+        self.state.owners[SERVICE]
+            .owner_of(key)
+            .map_or(String::new(), |r| r.owner.id.clone())
+    }
+}
+
+/// Call numbers began anew with each leadership, and results named no term: the answer to an earlier
+/// leadership's release completed another release, whose keys were given away while in use.
+#[test]
+fn an_answer_to_an_earlier_leadership_s_release_completes_no_release() {
+    let mut leadership = Leadership::with_all_keys_granted();
+    leadership.apply(Command::Register(upstream(1, Phase::Draining)));
+    let earlier = leadership.next_releases();
+    leadership.reelect();
+    let releases = leadership.next_releases();
+    let numbers = |calls: &[Call]| calls.iter().map(|c| c.id.number).collect::<Vec<_>>();
+    assert_eq!(
+        numbers(&earlier),
+        numbers(&releases),
+        "the numbers begin anew"
+    );
+    for call in &earlier {
+        leadership.finish(call.id, CallResult::Done(None));
+    }
+    leadership.step();
+    for call in &releases {
+        assert_eq!(leadership.owner(call.from), "u1", "{call:?}");
+    }
+    for call in &releases {
+        leadership.finish(call.id, CallResult::Done(None));
+    }
+    leadership.step();
+    for call in &releases {
+        assert_eq!(leadership.owner(call.from), "u2", "{call:?}");
+    }
+}
+
+/// Results of releases were matched by service and first key: a release that outlasted its move completed the
+/// next move of the same keys while their new owner was at work on them.
+#[test]
+fn an_answer_to_a_release_that_outlasted_its_move_completes_no_later_move() {
+    let mut leadership = Leadership::with_all_keys_granted();
+    leadership.apply(Command::Register(upstream(1, Phase::Draining)));
+    let earlier = leadership.next_releases();
+    let key = earlier[0].from;
+    // The first owner's grant runs out before it answers.
+    for _ in 0..100 {
+        for call in leadership.step() {
+            let result = match call.upstream == "u2" {
+                true => CallResult::Done(None),
+                false => CallResult::Unknown,
+            };
+            leadership.finish(call.id, result);
+        }
+    }
+    assert_eq!(leadership.owner(key), "u2");
+    // The new owner leaves as well, and a third one has come.
+    leadership.apply(Command::Register(upstream(3, Phase::Ready)));
+    leadership.live.push(3);
+    leadership.apply(Command::Register(upstream(2, Phase::Draining)));
+    let releases = leadership.next_releases();
+    assert!(releases.iter().any(|call| call.from == key), "{releases:?}");
+    for call in &earlier {
+        leadership.finish(call.id, CallResult::Done(None));
+    }
+    leadership.step();
+    assert_eq!(leadership.owner(key), "u2");
+    for call in &releases {
+        leadership.finish(call.id, CallResult::Done(None));
+    }
+    leadership.step();
+    assert_eq!(leadership.owner(key), "u3");
+}
