--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -84,8 +84,8 @@
         return Err(CliError::Usage("--settings FILE is missing".to_string()));
     };
     abort_on_panic();
-    let text = read_settings(&path)
-        .map_err(|e| CliError::Failed(format!("{}: {e}", path.display())))?;
+    let text =
+        read_settings(&path).map_err(|e| CliError::Failed(format!("{}: {e}", path.display())))?;
     let events = ServeEvents::listen(SettingsFile {
         path,
         text: text.clone(),
@@ -185,7 +185,8 @@
 fn read_settings(path: &Path) -> std::io::Result<String> {
     let mut text = String::new();
     let file = File::open(path)?;
-    file.take(SETTINGS_BYTES_MAX + 1).read_to_string(&mut text)?;
+    file.take(SETTINGS_BYTES_MAX + 1)
+        .read_to_string(&mut text)?;
     match text.len() as u64 > SETTINGS_BYTES_MAX {
         true => Err(std::io::Error::other("the settings file is too large")),
         false => Ok(text),
--- a/src/platform/grant_client.rs
+++ b/src/platform/grant_client.rs
@@ -14,7 +14,7 @@
 use crate::http::{HttpClient, HttpResponse};
 use crate::lock::lock;
 
-use super::headers::EXPECTED_UPSTREAM;
+use super::headers::{EXPECTED_UPSTREAM, REQUEST_ID};
 
 /// Timeout for opening a connection: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -78,6 +78,7 @@
 impl GrantTransport for GrantClient {
     async fn call(&self, call: Call, until: Mono) -> CallResult {
         let mut client = self.take(call.address);
+        let is_reused = client.is_open();
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, client.open()).await;
         if !matches!(opened, Ok(Ok(()))) {
             return CallResult::NotSent;
@@ -86,12 +87,21 @@
             self.put_back(call.address, client);
             return CallResult::LeaseEnded;
         }
-        let request = build_request(&call).timeout(Duration::from_millis(call.timeout_ms));
+        let request_id = format!("{:016x}", rand::random::<u64>());
+        let request = build_request(&call)
+            .header(REQUEST_ID.as_str(), &request_id)
+            .timeout(Duration::from_millis(call.timeout_ms));
         match client.send(request).await {
-            Ok(answer) => {
-                self.put_back(call.address, client);
-                call_result(&answer)
-            }
+            Ok(answer) => match answer.header(REQUEST_ID.as_str()) {
+                id if id == request_id => {
+                    self.put_back(call.address, client);
+                    call_result(&answer)
+                }
+                // Only the first answer on a connection needs no id to be this call's. Later ones could be
+                // copies of it, so the connection isn't used again.
+                "" if !is_reused => call_result(&answer),
+                _ => CallResult::Mismatched,
+            },
             // The caller logs the failure with the result.
             Err(_) => CallResult::Unknown,
         }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,7 +8,7 @@
 };
 use crate::rate_limit::RateLimit;
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("carobreel-request-id");
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("carobreel-request-id");
 /// Time until the caller's deadline, in milliseconds.
 const DEADLINE: HeaderName = HeaderName::from_static("carobreel-deadline-ms");
 /// The only upstream that may run the request.
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -2,12 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use carobreel::clock::Mono;
+use carobreel::clock::{Clock, Mono};
+use carobreel::directory::daemon::GrantTransport;
 use carobreel::directory::lessor::{Call, CallId, CallKind, CallResult, Lessor};
 use carobreel::directory::model::{Incarnation, Phase, RouteConfig, Service, Upstream};
 use carobreel::directory::state::{Command, State, StoredConfig};
+use carobreel::platform::grant_client::GrantClient;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 const HOLD_MS: u64 = 2_500;
 const STEP_MS: u64 = 40;
@@ -195,3 +202,134 @@
     leadership.step();
     assert_eq!(leadership.owner(key), "u3");
 }
+
+/// What a fake upstream sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answers {
+    /// Repeats its last answer on the connection before it works on the next call.
+    Repeated { with_id: bool },
+    /// Sends bytes without end after this text.
+    WithoutEnd(&'static str, &'static [u8]),
+}
+
+/// How long the fake upstream works on a call that follows another one.
+const WORK: Duration = Duration::from_millis(300);
+
+/// Serves calls and counts the bytes sent.
+async fn serve_calls(answers: Answers, sent: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answered = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_connection(
+                stream,
+                answers,
+                sent.clone(),
+                answered.clone(),
+            ));
+        }
+    });
+    address
+}
+
+async fn serve_connection(
+    mut stream: TcpStream,
+    answers: Answers,
+    sent: Arc<AtomicUsize>,
+    answered: Arc<AtomicUsize>,
+) {
+    let mut last_answer: Option<String> = None;
+    while let Some(id) = read_call(&mut stream).await {
+        match answers {
+            Answers::Repeated { with_id } => {
+                if let Some(again) = &last_answer {
+                    stream.write_all(again.as_bytes()).await.ok();
+                }
+                if answered.fetch_add(1, Ordering::SeqCst) > 0 {
+                    tokio::time::sleep(WORK).await;
+                }
+                let id = match with_id {
+                    true => format!("Carobreel-Request-Id: {id}\r\n"),
+                    false => String::new(),
+                };
+                let answer = format!("HTTP/1.1 200 OK\r\n{id}Content-Length: 0\r\n\r\n");
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                last_answer = Some(answer);
+            }
+            Answers::WithoutEnd(start, part) => {
+                let mut written = stream.write_all(start.as_bytes()).await;
+                let parts = part.repeat(1 + (8 << 10) / part.len());
+                while written.is_ok() {
+                    written = stream.write_all(&parts).await;
+                    sent.fetch_add(parts.len(), Ordering::SeqCst);
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a call and returns its id.
+async fn read_call(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    loop {
+        let mut buf = [0; 4_096];
+        let len = stream.read(&mut buf).await.ok().filter(|len| *len > 0)?;
+        text.push_str(&String::from_utf8_lossy(&buf[..len]));
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let header = |name: &str| {
+                let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+                let found = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
+                found.map_or(String::new(), |(_, value)| value.to_string())
+            };
+            if body.len() >= header("content-length").parse().unwrap_or(0) {
+                return Some(header("carobreel-request-id"));
+            }
+        }
+    }
+}
+
+fn call(address: SocketAddr, number: u64, kind: CallKind, timeout_ms: u64) -> Call {
+    Call {
+        id: CallId { term: 1, number },
+        address,
+        upstream: "u1".to_string(),
+        service: SERVICE.to_string(),
+        from: 0,
+        to: 9,
+        fence: 1,
+        kind,
+        timeout_ms,
+    }
+}
+
+/// The first answer on a kept connection was taken as that to the call in flight: a second copy of a grant's
+/// answer completed the release that followed, and the keys were given away while in use.
+#[tokio::test]
+async fn a_second_copy_of_a_grant_s_answer_completes_no_release() {
+    for with_id in [true, false] {
+        let answers = Answers::Repeated { with_id };
+        let address = serve_calls(answers, Arc::default()).await;
+        let client = GrantClient::new(Clock::start());
+        let until = Mono(u64::MAX);
+        let grant = CallKind::Grant {
+            hold_ms: HOLD_MS,
+            handover: None,
+        };
+        let granted = client.call(call(address, 1, grant, 1_000), until).await;
+        assert_eq!(granted, CallResult::Done(None), "{answers:?}");
+        let started_at = Instant::now();
+        let release = call(address, 2, CallKind::Release, 2_000);
+        let released = client.call(release, until).await;
+        let waited = started_at.elapsed();
+        if with_id {
+            assert_eq!(released, CallResult::Mismatched);
+        } else {
+            assert_eq!(released, CallResult::Done(None));
+            assert!(waited >= WORK, "{waited:?}");
+        }
+    }
+}
