--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,6 +6,7 @@
 pub mod codec;
 mod command_events;
 pub mod daemon;
+pub mod departures;
 mod follower;
 pub mod handle;
 pub mod key_rates;
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -19,6 +19,7 @@
 
 use super::codec::{decode, encode};
 use super::command_events;
+use super::departures::DepartureAges;
 use super::lessor::Lessor;
 use super::membership::MembershipPlanner;
 use super::model::{Phase, Upstream};
@@ -457,6 +458,7 @@
             membership_planner: MembershipPlanner::new(self.voters),
             permits: PermitIssuer::new(term, elected_at),
             trials: Trials::new(elected_at),
+            departure_ages: DepartureAges::default(),
         });
     }
 
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -219,6 +219,12 @@
         if !expired.is_empty() {
             commands.push(Command::Forget(expired));
         }
+        let expired = leader_state
+            .departure_ages
+            .expired(&self.state.departures, now);
+        if !expired.is_empty() {
+            commands.push(Command::ForgetDepartures(expired));
+        }
         for command in commands {
             let payload = Payload::Command(encode(&command));
             match self.raft.propose(payload, now) {
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -6,6 +6,7 @@
 use crate::event::Event;
 use crate::raft::{Message, Timing};
 
+use super::super::departures::DepartureAges;
 use super::super::lessor::{Call, CallId, CallResult, Lessor};
 use super::super::membership::MembershipPlanner;
 use super::super::permits::PermitIssuer;
@@ -124,6 +125,7 @@
     pub(super) membership_planner: MembershipPlanner,
     pub(super) permits: PermitIssuer,
     pub(super) trials: Trials,
+    pub(super) departure_ages: DepartureAges,
 }
 
 /// The stored state and the parameters that a replica starts with.
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::departures::Departures;
 use super::model::{Incarnation, Key, KeyRange, KeyTable, Phase, Route, RouteConfig, Upstream};
 use super::protocol::{ConfigUpdate, Update};
 use super::suspects::{Acquittal, CrashReport, SuspectChange, SuspectId, Suspects};
@@ -122,6 +123,8 @@
     BeginTrial(SuspectId, BTreeSet<String>),
     /// Drops all suspicions against a request.
     ClearSuspect(SuspectId),
+    /// Removes traces of upstreams that left, by id and the log index of the trace.
+    ForgetDepartures(Vec<(String, u64)>),
 }
 
 /// The versions of the parts of the state.
@@ -155,6 +158,8 @@
     pub versions: Versions,
     /// Requests that are suspected of ending upstreams.
     pub suspects: Suspects,
+    /// Upstreams that left, or whose records were removed.
+    pub departures: Departures,
 }
 
 impl State {
@@ -172,10 +177,11 @@
             Command::Forget(list) => {
                 for incarnation in list {
                     let known = self.upstreams.get(&incarnation.id);
-                    if let Some(address) = known
+                    if let Some((address, phase)) = known
                         .filter(|u| u.incarnation == incarnation)
-                        .map(|u| u.address)
+                        .map(|u| (u.address, u.phase))
                     {
+                        self.departures.record(index, &incarnation, phase);
                         self.upstreams.remove(&incarnation.id);
                         self.remove_address(address, &incarnation.id);
                         self.change_indexes.remove(&incarnation.id);
@@ -220,6 +226,7 @@
             Command::ClearSuspect(id) => {
                 self.suspects.remove(index, &id);
             }
+            Command::ForgetDepartures(list) => self.departures.remove_all(&list),
         }
     }
 
@@ -329,7 +336,7 @@
     }
 
     /// Returns the record that registering `upstream` would store, or `None` if a later process with its id
-    /// is known.
+    /// is known or it left before it was known.
     fn resolve_registration(&self, upstream: &Upstream) -> Option<Upstream> {
         let incarnation = &upstream.incarnation;
         let mut next = upstream.clone();
@@ -341,6 +348,11 @@
                 next.phase = next.phase.max(known.phase);
             }
         }
+        match self.departures.phase_of(incarnation) {
+            Some(Phase::Gone) if !self.upstreams.contains_key(&incarnation.id) => return None,
+            Some(phase) => next.phase = next.phase.max(phase),
+            None => {}
+        }
         let mut others = self.others_at_address(upstream);
         if others.any(|other| other.incarnation.born_ms > incarnation.born_ms) {
             next.phase = Phase::Gone;
@@ -353,6 +365,7 @@
             return;
         };
         let incarnation = next.incarnation.clone();
+        self.departures.supersede(&incarnation);
         let is_older = |other: &&Upstream| other.incarnation.born_ms < incarnation.born_ms;
         let replaced = self.others_at_address(&next).filter(is_older);
         let replaced: Vec<String> = replaced.map(|u| u.incarnation.id.clone()).collect();
@@ -396,6 +409,11 @@
     }
 
     fn deregister(&mut self, index: u64, incarnation: &Incarnation) {
+        let known = self.upstreams.get(&incarnation.id);
+        // The first announcement of the process that leaves may arrive later.
+        if known.is_none_or(|u| u.incarnation.born_ms < incarnation.born_ms) {
+            self.departures.record(index, incarnation, Phase::Gone);
+        }
         let Some(known) = self.upstreams.get_mut(&incarnation.id) else {
             return;
         };
--- a/tests/registering.rs
+++ b/tests/registering.rs
@@ -9,6 +9,7 @@
 use carobreel::clock::Clock;
 use carobreel::credentials;
 use carobreel::daemon::discard_logger;
+use carobreel::directory::codec::{decode, encode};
 use carobreel::directory::daemon::{Directory, Settings};
 use carobreel::directory::model::{Incarnation, Phase, Upstream};
 use carobreel::directory::protocol::{DirectoryRequest, Reply};
@@ -113,34 +114,78 @@
 }
 
 /// A reference implementation of registration that compares each upstream with all others.
-fn register_one_by_one(known: &mut Vec<Upstream>, next: &Upstream) {
-    let incarnation = &next.incarnation;
-    let position = known
-        .iter()
-        .position(|u| u.incarnation.id == incarnation.id);
-    if position.is_some_and(|n| known[n].incarnation.born_ms > incarnation.born_ms) {
-        return;
+#[derive(Default)]
+struct Reference {
+    known: Vec<Upstream>,
+    /// What is known of processes that left unknown or whose records were removed.
+    departed: Vec<(Incarnation, Phase)>,
+}
+
+impl Reference {
+    fn position(&self, id: &str) -> Option<usize> {
+        self.known.iter().position(|u| u.incarnation.id == id)
     }
-    let mut next = next.clone();
-    if let Some(same) = position.filter(|n| known[*n].incarnation == *incarnation) {
-        next.phase = next.phase.max(known[same].phase);
+
+    /// Returns the earliest phase that a process may be in by what departed.
+    fn departed_phase(&self, incarnation: &Incarnation) -> Option<Phase> {
+        let of_id = self.departed.iter().filter(|(d, _)| d.id == incarnation.id);
+        let newest = of_id.max_by_key(|(d, phase)| (d.born_ms, *phase));
+        let (newest, phase) = newest?;
+        match newest.born_ms {
+            born_ms if born_ms > incarnation.born_ms => Some(Phase::Gone),
+            born_ms if born_ms == incarnation.born_ms => Some(*phase),
+            _ => None,
+        }
     }
-    let is_at_same_address =
-        |u: &Upstream| u.address == next.address && u.incarnation.id != incarnation.id;
-    if known
-        .iter()
-        .any(|u| is_at_same_address(u) && u.incarnation.born_ms > incarnation.born_ms)
-    {
-        next.phase = Phase::Gone;
+
+    fn register(&mut self, next: &Upstream) {
+        let incarnation = &next.incarnation;
+        let position = self.position(&incarnation.id);
+        if position.is_some_and(|n| self.known[n].incarnation.born_ms > incarnation.born_ms) {
+            return;
+        }
+        let mut next = next.clone();
+        if let Some(same) = position.filter(|n| self.known[*n].incarnation == *incarnation) {
+            next.phase = next.phase.max(self.known[same].phase);
+        }
+        match self.departed_phase(incarnation) {
+            Some(Phase::Gone) if position.is_none() => return,
+            Some(phase) => next.phase = next.phase.max(phase),
+            None => {}
+        }
+        let is_at_same_address =
+            |u: &Upstream| u.address == next.address && u.incarnation.id != incarnation.id;
+        let mut others = self.known.iter().filter(|u| is_at_same_address(u));
+        if others.any(|u| u.incarnation.born_ms > incarnation.born_ms) {
+            next.phase = Phase::Gone;
+        }
+        for other in self.known.iter_mut().filter(|u| is_at_same_address(u)) {
+            if other.incarnation.born_ms < incarnation.born_ms {
+                other.phase = Phase::Gone;
+            }
+        }
+        match position {
+            Some(n) => self.known[n] = next,
+            None => self.known.push(next),
+        }
     }
-    for other in known.iter_mut().filter(|u| is_at_same_address(u)) {
-        if other.incarnation.born_ms < incarnation.born_ms {
-            other.phase = Phase::Gone;
+
+    fn deregister(&mut self, incarnation: &Incarnation) {
+        let position = self.position(&incarnation.id);
+        let known_born_ms = position.map(|n| self.known[n].incarnation.born_ms);
+        if known_born_ms.is_none_or(|born_ms| born_ms < incarnation.born_ms) {
+            self.departed.push((incarnation.clone(), Phase::Gone));
+        }
+        if let Some(n) = position.filter(|_| known_born_ms <= Some(incarnation.born_ms)) {
+            self.known[n].phase = Phase::Gone;
         }
     }
-    match position {
-        Some(n) => known[n] = next,
-        None => known.push(next),
+
+    fn forget(&mut self, n: usize) -> Incarnation {
+        let forgotten = self.known.swap_remove(n);
+        let incarnation = forgotten.incarnation;
+        self.departed.push((incarnation.clone(), forgotten.phase));
+        incarnation
     }
 }
 
@@ -149,7 +194,7 @@
     for seed in 0..50 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut state = State::default();
-        let mut known = Vec::new();
+        let mut reference = Reference::default();
         for index in 1..60 {
             let count = rng.random_range(1..6);
             let mut draw = || {
@@ -157,15 +202,144 @@
                 upstream(n, rng.random_range(1..8), rng.random_range(1..20))
             };
             let list: Vec<Upstream> = (0..count).map(|_| draw()).collect();
-            list.iter().for_each(|u| register_one_by_one(&mut known, u));
+            list.iter().for_each(|u| reference.register(u));
             state.apply(index, Command::RegisterAll(list));
             if index % 10 == 0 {
-                let forgotten = known.swap_remove(rng.random_range(0..known.len()));
-                state.apply(index, Command::Forget(vec![forgotten.incarnation]));
+                let n = rng.random_range(0..reference.known.len());
+                let forgotten = reference.forget(n);
+                state.apply(index, Command::Forget(vec![forgotten]));
+            }
+            if index % 7 == 0 {
+                let n = rng.random_range(0..12);
+                let leaving = upstream(n, 1, rng.random_range(1..20)).incarnation;
+                reference.deregister(&leaving);
+                state.apply(index, Command::Deregister(leaving));
             }
         }
+        let mut known = reference.known;
         known.sort_by(|a, b| a.incarnation.id.cmp(&b.incarnation.id));
         let found: Vec<Upstream> = state.upstreams.values().cloned().collect();
         assert_eq!(found, known, "seed {seed}");
     }
 }
+
+/// A message about an upstream, or the removal of its record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Notice {
+    /// The process with this start time says that it is in this phase.
+    Announced(u64, Phase),
+    /// The process with this start time deregisters.
+    Left(u64),
+    /// The record is removed, and the state is read back from a snapshot.
+    Forgotten,
+    /// A later process with another id has the address.
+    Replaced,
+}
+
+/// The start time of the process that takes over the address.
+const REPLACED_AT: u64 = 3;
+
+/// Applies notices in order and checks after each one which processes may be in service.
+fn check_notices(notices: &[Notice]) {
+    let mut state = State::default();
+    for (n, notice) in notices.iter().enumerate() {
+        let index = n as u64 + 1;
+        match notice {
+            Notice::Announced(born_ms, phase) => {
+                let announced = Upstream {
+                    phase: *phase,
+                    ..upstream(1, 1, *born_ms)
+                };
+                state.apply(index, Command::Register(announced));
+            }
+            Notice::Left(born_ms) => {
+                let leaving = upstream(1, 1, *born_ms).incarnation;
+                state.apply(index, Command::Deregister(leaving));
+            }
+            Notice::Forgotten => {
+                let known = state.upstreams.get("u1").map(|u| u.incarnation.clone());
+                let known = known.into_iter().collect();
+                state.apply(index, Command::Forget(known));
+                state = decode(&encode(&state)).unwrap();
+            }
+            Notice::Replaced => {
+                let other = upstream(2, 1, REPLACED_AT);
+                state.apply(index, Command::Register(other));
+            }
+        }
+        let so_far = &notices[..=n];
+        let ready = state.upstreams.get("u1").filter(|u| u.is_ready());
+        let ready = ready.map(|u| u.incarnation.born_ms);
+        for born_ms in [1, 2] {
+            let has_left = so_far.iter().any(|s| match s {
+                Notice::Announced(other, phase) => {
+                    *other > born_ms || (*other == born_ms && *phase != Phase::Ready)
+                }
+                Notice::Left(other) => *other >= born_ms,
+                Notice::Replaced => true,
+                Notice::Forgotten => false,
+            });
+            if has_left {
+                assert_ne!(ready, Some(born_ms), "{so_far:?}");
+            } else if *notice == Notice::Announced(born_ms, Phase::Ready) {
+                assert_eq!(ready, Some(born_ms), "{so_far:?}");
+            }
+        }
+    }
+}
+
+/// Calls `check` with every order of the notices.
+fn for_all_orders(notices: &mut [Notice], fixed: usize, check: &mut impl FnMut(&[Notice])) {
+    if fixed == notices.len() {
+        return check(notices);
+    }
+    for n in fixed..notices.len() {
+        notices.swap(fixed, n);
+        for_all_orders(notices, fixed + 1, check);
+        notices.swap(fixed, n);
+    }
+}
+
+/// A deregistration of a process that wasn't known left no trace: its first heartbeat, held up on the way, put
+/// it into service afterwards.
+#[test]
+fn no_order_of_late_messages_brings_back_an_upstream_that_left() {
+    let mut notices = vec![
+        Notice::Announced(1, Phase::Ready),
+        Notice::Announced(1, Phase::Draining),
+        Notice::Left(1),
+        Notice::Announced(2, Phase::Ready),
+        Notice::Announced(2, Phase::Draining),
+        Notice::Left(2),
+        Notice::Replaced,
+    ];
+    let mut orders = 0;
+    for_all_orders(&mut notices, 0, &mut |order| {
+        orders += 1;
+        check_notices(order);
+        // Any of the messages may have been lost, and the record be removed at any time.
+        for lost in 0..order.len() {
+            let mut rest = order.to_vec();
+            rest.remove(lost);
+            let at = (orders + lost) % rest.len();
+            rest.insert(at, Notice::Forgotten);
+            check_notices(&rest);
+        }
+    });
+    assert_eq!(orders, 5_040);
+}
+
+#[test]
+fn traces_of_upstreams_that_left_are_bounded_in_number() {
+    let mut state = State::default();
+    for n in 0..10_000 {
+        let leaving = upstream(n, 1, 1).incarnation;
+        state.apply(u64::from(n) + 1, Command::Deregister(leaving));
+    }
+    assert_eq!(state.departures.len(), 4_096);
+    let newest = upstream(9_999, 1, 1);
+    assert!(
+        !state.would_change(&newest),
+        "the oldest ones are dropped first"
+    );
+}
