Give up answers of the directory that don't arrive while the connection lives (CONFIG)

Seen by the users: a host in touch used a configuration 2.5 s after a newer one's acknowledgement, once. Cause (found by reading, shown by a test): an entry host waited up to 4.8 s for the answer to its request for changes as long as anything arrived from the leader, keep-alives included. Why it works: only bytes of the answer itself prolong the wait; otherwise the leader is searched anew after 1.2 s.

--- a/src/diagnosis/describe.rs
+++ b/src/diagnosis/describe.rs
@@ -13,7 +13,9 @@
         }
         Event::LeaderElected { term, .. } => format!("leads the directory from term {term}"),
         Event::LeaderLost { term, .. } => format!("no longer leads the directory (term {term})"),
-        Event::RoutesInForce { version, routes } => {
+        Event::RoutesInForce {
+            version, routes, ..
+        } => {
             format!("uses configuration {version} with {routes} routes")
         }
         Event::UpstreamRegistered {
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -187,6 +187,7 @@
             return;
         };
         let mut hold_until = now;
+        let mut superseded = None;
         match &request {
             DirectoryRequest::Announce(upstream) => {
                 leader_state
@@ -289,10 +290,7 @@
                     known_versions: *known_versions,
                 };
                 leader_state.watchers.insert(host.clone(), watcher);
-                if let Some(superseded) = leader_state.remove_watch(host) {
-                    let reply = Reply::NotLeader(None);
-                    self.output.replies.push((superseded, reply));
-                }
+                superseded = leader_state.watch_position(host);
                 for report in counts {
                     leader_state
                         .lessor
@@ -307,13 +305,23 @@
             }
         }
         let heartbeat_round = self.raft.current_round().unwrap_or(0) + 1;
-        leader_state.pending_requests.push_back(PendingRequest {
+        let mut pending = PendingRequest {
             request,
             reply_to,
             heartbeat_round,
             received_at: now,
             hold_until,
-        });
+        };
+        // A host that asks again keeps its place: while the budget is short, the place decides when it is
+        // answered.
+        match superseded.and_then(|n| leader_state.pending_requests.get_mut(n)) {
+            Some(place) => {
+                std::mem::swap(place, &mut pending);
+                let reply = Reply::NotLeader(None);
+                self.output.replies.push((pending.reply_to, reply));
+            }
+            None => leader_state.pending_requests.push_back(pending),
+        }
     }
 
     fn propose(&mut self, command: Command, reply_to: T, now: Mono) {
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -8,6 +8,9 @@
 use super::super::protocol::PermitRequest;
 use super::super::suspects::{ready_versions, Stage};
 
+/// The maximum number of hosts that an event names.
+const HOSTS_LOGGED_MAX: usize = 8;
+
 impl<T> LeaderState<T> {
     /// Acknowledges a committed change once entry hosts have received it.
     pub(super) fn ack_once_received(&mut self, change: Change, reply_to: T, now: Mono) {
@@ -28,16 +31,36 @@
                 .all(|w| change.is_covered_by(&w.known_versions))
     }
 
-    /// Removes the pending watch request of a host, which it gave up if it sends a new one.
-    pub(super) fn remove_watch(&mut self, host: &str) -> Option<T> {
+    /// Returns the event for a change that is acknowledged before all watchers have received it.
+    fn acked_without_hosts_event(&self, ack: &PendingAck<T>, now: Mono) -> Event {
+        let lacks = |w: &Watcher| !ack.change.is_covered_by(&w.known_versions);
+        let lacking = self.watchers.iter().filter(|(_, w)| lacks(w));
+        let mut names: Vec<&str> = lacking.map(|(name, _)| name.as_str()).collect();
+        let hosts = names.len() as u64;
+        names.truncate(HOSTS_LOGGED_MAX);
+        let (change, version) = match ack.change {
+            Change::Upstreams(index) => ("upstreams", index),
+            Change::Config(version) => ("config", version),
+        };
+        Event::AckedWithoutHosts {
+            change: change.to_string(),
+            version,
+            waited_ms: ACK_TIMEOUT_MS + now.since(ack.deadline),
+            hosts,
+            names: names.join(","),
+            leads_for_ms: now.since(self.elected_at),
+        }
+    }
+
+    /// Returns the position of a host's pending watch request, which it gave up if it sends a new one.
+    pub(super) fn watch_position(&self, host: &str) -> Option<usize> {
         let is_of_host = |pending: &PendingRequest<T>| {
             matches!(
                 &pending.request,
                 DirectoryRequest::Watch { host: h, .. } if h == host
             )
         };
-        let n = self.pending_requests.iter().position(is_of_host)?;
-        Some(self.pending_requests.remove(n)?.reply_to)
+        self.pending_requests.iter().position(is_of_host)
     }
 
     /// Issues permits for upstreams with a rate limit, while the lease rules out another leader that issues
@@ -254,7 +277,11 @@
             .watchers
             .retain(|_, w| now.since(w.received_at) < WATCHER_EXPIRY_MS);
         for ack in std::mem::take(&mut leader_state.pending_acks) {
-            if leader_state.has_reached_watchers(ack.change, now) || now >= ack.deadline {
+            if leader_state.has_reached_watchers(ack.change, now) {
+                self.output.replies.push((ack.reply_to, Reply::Done));
+            } else if now >= ack.deadline {
+                let event = leader_state.acked_without_hosts_event(&ack, now);
+                self.output.events.push(event);
                 self.output.replies.push((ack.reply_to, Reply::Done));
             } else {
                 leader_state.pending_acks.push(ack);
--- a/src/event.rs
+++ b/src/event.rs
@@ -111,7 +111,7 @@
     172 Warning MessageRefused "A message from another process couldn't be read." { reason: String }
     200 Info RoutesDecided "A route configuration was decided." { version: u64, routes: u64 }
     201 Warning RoutesRefused "A route configuration was refused; nothing changed." { reason: String }
-    202 Info RoutesInForce "A route configuration is in force on an entry host." { version: u64, routes: u64 }
+    202 Info RoutesInForce "A route configuration is in force on an entry host." { version: u64, routes: u64, before: u64, unconfirmed_ms: u64 }
     203 Info UpstreamRegistered "The registration of an upstream changed." { upstream: String, born_ms: u64, service: String, phase: String }
     204 Info UpstreamDeregistered "An upstream announced that it is leaving." { upstream: String }
     205 Info KeysAssigned "A range of keys was assigned to an owner." { service: String, from: u16, to: u16, owner: String, fence: u64 }
@@ -146,6 +146,8 @@
     239 Warning CrashReportsUnanswered "The directory's leader doesn't answer reports of upstreams that ended; they are sent again." { reports: u64, waited_ms: u64 }
     240 Warning CrashReportsDropped "Reports of upstreams that ended were dropped to bound memory." { count: u64 }
     241 Info SuspectsListed "The requests that this host sends only as trials changed." { on_trial: u64, quarantined: u64, version: u64 }
+    242 Warning AcceptFailed "A connection couldn't be accepted." { reason: String }
+    243 Warning AckedWithoutHosts "A change was acknowledged although entry hosts that follow the directory don't have it yet." { change: String, version: u64, waited_ms: u64, hosts: u64, names: String, leads_for_ms: u64 }
 }
 
 /// An event with its time and host.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -20,10 +20,10 @@
 use super::upstream_client::UpstreamClients;
 use super::view::DirectoryView;
 
-/// Timeout of a request to the leader: the longest time that it holds a request, plus the round trip.
+/// Timeout of a request to the leader: the longest time that it holds a request, plus the round trip. Then the
+/// leader is searched anew, so that a lost answer delays a configuration by less than the platform allows.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Timeout while other data arrives from the leader. A new request would put the same response on a narrow
-/// link once more.
+/// Timeout while the answer is in transfer. A new request would put it on a narrow link once more.
 const ANSWER_TIMEOUT_WHILE_RECEIVING: Duration = Duration::from_millis(4_800);
 /// Delay before the next host that may know the leader is asked as well.
 const NEXT_HOST_DELAY: Duration = Duration::from_millis(300);
@@ -271,6 +271,8 @@
             self.recorder.record(Event::RoutesInForce {
                 version: next.versions.config,
                 routes: next.config.routes.len() as u64,
+                before: before.versions.config,
+                unconfirmed_ms: self.clock.now().since(before.confirmed_at),
             });
         }
         self.view.send_replace(next.clone());
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -38,13 +38,16 @@
 
 impl DirectoryView {
     /// Returns the view after an update that was requested at `asked_at`. A configuration is ignored if it
-    /// isn't newer than the current one, or if it lists the changes to another version.
+    /// isn't newer than the current one, or if it lists the changes to another version; then the view isn't
+    /// confirmed either.
     pub fn updated(&self, update: Update, asked_at: Mono) -> DirectoryView {
         let confirmed_at = update.confirmed_at(asked_at);
         let mut next = self.clone();
         let config = update.config.as_ref();
         let newer_config = config.filter(|c| c.version > self.versions.config);
-        if let Some(config) = newer_config.and_then(|c| c.applied_to(&self.config)) {
+        let applied_config = newer_config.and_then(|c| c.applied_to(&self.config));
+        let is_confirmed = newer_config.is_some() == applied_config.is_some();
+        if let Some(config) = applied_config {
             next.versions.config = config.version;
             next.routes_by_host = Arc::new(index_routes(&config));
             next.config = Arc::new(config);
@@ -83,7 +86,9 @@
         next.replicas = update.replicas;
         next.entry_hosts = update.entry_hosts.max(1);
         next.limits_version = update.limits_version;
-        next.confirmed_at = confirmed_at.max(self.confirmed_at);
+        if is_confirmed {
+            next.confirmed_at = confirmed_at.max(self.confirmed_at);
+        }
         next
     }
 
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -187,22 +187,25 @@
             .await
     }
 
-    /// Works like [`Endpoint::call`], but keeps waiting, for at most `timeout_max`, until nothing
-    /// has arrived for `silence_timeout`. On a narrow link the response may still be in transfer.
+    /// Works like [`Endpoint::call`], but keeps waiting, for at most `timeout_max`, while the response is in
+    /// transfer, until nothing of it has arrived for `stall_timeout`. Other data on the connection says
+    /// nothing about the response.
     pub async fn call_while_receiving(
         &self,
         host: &str,
         request: Request,
-        silence_timeout: Duration,
+        stall_timeout: Duration,
         timeout_max: Duration,
     ) -> Result<Response, Report<TransportError>> {
         let mut watch = self.watch_received(host);
-        let exchange = self.exchange(host, request);
+        let received = AtomicU64::new(0);
+        let exchange = self.exchange(host, request, &received);
         tokio::pin!(exchange);
         let (mut elapsed, mut silent_for) = (Duration::ZERO, Duration::ZERO);
+        let (mut stalled_for, mut received_before) = (Duration::ZERO, 0);
         loop {
             let interval = RECEIVE_POLL_INTERVAL
-                .min(silence_timeout - silent_for)
+                .min(stall_timeout - stalled_for)
                 .min(timeout_max - elapsed);
             if let Ok(result) = tokio::time::timeout(interval, &mut exchange).await {
                 return result;
@@ -215,12 +218,18 @@
                 true => Duration::ZERO,
                 false => silent_for + interval,
             };
-            if silent_for < silence_timeout && elapsed < timeout_max {
+            let received_now = received.load(Ordering::Relaxed);
+            stalled_for = match std::mem::replace(&mut received_before, received_now) < received_now
+            {
+                true => Duration::ZERO,
+                false => stalled_for + interval,
+            };
+            if stalled_for < stall_timeout && elapsed < timeout_max {
                 continue;
             }
-            // Nothing arrived during the whole call, or for the full silence timeout: packets that
+            // Nothing arrived during the whole call, or for the full stall timeout: packets that
             // arrived before such a silence don't show that the connection still works.
-            let is_silent = silent_for == elapsed || silent_for >= silence_timeout;
+            let is_silent = silent_for == elapsed || silent_for >= stall_timeout;
             if is_silent && silent_for >= SILENCE_MIN {
                 if let Some(connection) = &watch.connection {
                     self.drop_connection(host, connection);
@@ -414,6 +423,7 @@
         &self,
         host: &str,
         request: Request,
+        received: &AtomicU64,
     ) -> Result<Response, Report<TransportError>> {
         let connection = self.connection(host).await?;
         let opened = connection.open_bi().await;
@@ -424,7 +434,11 @@
             .await
             .change_context(TransportError::Lost)?;
         let _ = tx.finish();
-        self.read_response(&mut rx).await
+        let envelope: Envelope<Response> = wire::read_counted_frame(&mut rx, received)
+            .await
+            .change_context(TransportError::Lost)?;
+        self.inner.recorder.clock().merge(envelope.time);
+        Ok(envelope.body)
     }
 
     fn envelope<B>(&self, body: B) -> Envelope<B> {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 //! A frame is its length as little-endian `u32`, followed by an [`Envelope`] encoded with postcard.
 
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use error_stack::{Report, ResultExt};
 use quinn::{RecvStream, SendStream};
@@ -199,18 +200,38 @@
 /// when the content doesn't decode, [`WireError::Closed`] when the stream ends early.
 pub async fn read_frame<B: DeserializeOwned>(
     rx: &mut RecvStream,
+) -> Result<Envelope<B>, Report<WireError>> {
+    read_counted_frame(rx, &AtomicU64::new(0)).await
+}
+
+/// Reads a frame as [`read_frame`] does, and adds its bytes to `received` as they arrive.
+pub async fn read_counted_frame<B: DeserializeOwned>(
+    rx: &mut RecvStream,
+    received: &AtomicU64,
 ) -> Result<Envelope<B>, Report<WireError>> {
     let mut len = [0; 4];
-    rx.read_exact(&mut len)
-        .await
-        .change_context(WireError::Closed)?;
+    fill(rx, &mut len, received).await?;
     let len = u32::from_le_bytes(len) as usize;
     if len > FRAME_BYTES_MAX {
         return Err(Report::new(WireError::TooLong(len)));
     }
     let mut buf = vec![0; len];
-    rx.read_exact(&mut buf)
-        .await
-        .change_context(WireError::Closed)?;
+    fill(rx, &mut buf, received).await?;
     postcard::from_bytes(&buf).change_context(WireError::Malformed)
 }
+
+async fn fill(
+    rx: &mut RecvStream,
+    mut buf: &mut [u8],
+    received: &AtomicU64,
+) -> Result<(), Report<WireError>> {
+    while !buf.is_empty() {
+        let read = rx.read(buf).await.change_context(WireError::Closed)?;
+        let Some(len) = read else {
+            return Err(Report::new(WireError::Closed));
+        };
+        received.fetch_add(len as u64, Ordering::Relaxed);
+        buf = &mut buf[len..];
+    }
+    Ok(())
+}
--- a/tests/updates.rs
+++ b/tests/updates.rs
@@ -6,6 +6,7 @@
 use carobreel::clock::Mono;
 use carobreel::directory::codec::{decode, encode};
 use carobreel::directory::model::{RepeatPolicy, Route, RouteConfig, Target};
+use carobreel::directory::protocol::{ConfigUpdate, Update};
 use carobreel::directory::state::{Command, State, StoredConfig, Versions};
 use carobreel::gateway::view::DirectoryView;
 use carobreel::raft::{Body, HardState, Log, Membership, Message, Payload};
@@ -99,6 +100,32 @@
     }
 }
 
+/// A view that skipped a configuration passed for confirmed: routes that it lacked were answered with 404.
+#[test]
+fn a_configuration_for_another_base_leaves_the_view_unconfirmed() {
+    let update = |version: u64, base: Option<u64>| Update {
+        versions: Versions {
+            config: version,
+            ..Versions::default()
+        },
+        config: Some(ConfigUpdate {
+            version,
+            base,
+            routes: Vec::new(),
+            removed: Vec::new(),
+            services: BTreeMap::new(),
+            limits: Default::default(),
+        }),
+        ..Update::default()
+    };
+    let view = DirectoryView::default().updated(update(1, None), Mono(100));
+    assert_eq!(view.confirmed_at, Mono(100));
+    let view = view.updated(update(3, Some(2)), Mono(200));
+    assert_eq!((view.versions.config, view.confirmed_at), (1, Mono(100)));
+    let view = view.updated(update(3, Some(1)), Mono(300));
+    assert_eq!((view.versions.config, view.confirmed_at), (3, Mono(300)));
+}
+
 /// The maximum number of bytes in flight to one replica: a few seconds of a link between regions.
 const IN_FLIGHT_MAX: usize = 1 << 20;
 
