--- a/src/http.rs
+++ b/src/http.rs
@@ -6,13 +6,18 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+/// Default of the maximum size of a response's body, in bytes.
+const DEFAULT_ANSWER_BYTES_MAX: usize = 64 << 20;
+/// Maximum size of a response's head, in bytes.
+const HEAD_BYTES_MAX: usize = 64 << 10;
+
 /// Why a request got no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HttpError {
@@ -22,6 +27,8 @@
     ConnectionLost,
     /// No complete response arrived in time.
     Timeout,
+    /// The response is larger than the client accepts.
+    TooLarge,
     /// The request can't be built.
     InvalidRequest,
 }
@@ -32,6 +39,7 @@
             HttpError::Connect => "can't connect",
             HttpError::ConnectionLost => "the connection broke before the end of the answer",
             HttpError::Timeout => "no whole answer in time",
+            HttpError::TooLarge => "the answer is too large",
             HttpError::InvalidRequest => "the request can't be formed",
         })
     }
@@ -122,6 +130,7 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     reset_on_close: bool,
+    answer_bytes_max: usize,
 }
 
 impl HttpClient {
@@ -131,6 +140,7 @@
             address,
             sender: None,
             reset_on_close: false,
+            answer_bytes_max: DEFAULT_ANSWER_BYTES_MAX,
         }
     }
 
@@ -143,6 +153,14 @@
         }
     }
 
+    /// Returns the client with another maximum size of a response's body, in bytes.
+    pub fn with_answer_bytes_max(self, answer_bytes_max: usize) -> HttpClient {
+        HttpClient {
+            answer_bytes_max,
+            ..self
+        }
+    }
+
     /// Reports whether a connection is open and ready.
     pub fn is_open(&self) -> bool {
         self.sender.as_ref().is_some_and(SendRequest::is_ready)
@@ -188,10 +206,11 @@
             .await
             .change_context(HttpError::ConnectionLost)?;
         let (head, body) = response.into_parts();
-        let body = body
-            .collect()
-            .await
-            .change_context(HttpError::ConnectionLost)?;
+        let body = match Limited::new(body, self.answer_bytes_max).collect().await {
+            Ok(body) => body,
+            Err(e) if e.is::<LengthLimitError>() => return Err(Report::new(HttpError::TooLarge)),
+            Err(_) => return Err(Report::new(HttpError::ConnectionLost)),
+        };
         self.sender = Some(sender);
         Ok(HttpResponse {
             status: head.status,
@@ -214,7 +233,9 @@
             .change_context(HttpError::Connect)?;
     }
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_BYTES_MAX)
+        .handshake(TokioIo::new(stream))
         .await
         .change_context(HttpError::Connect)?;
     tokio::spawn(connection);
--- a/src/platform/grant_client.rs
+++ b/src/platform/grant_client.rs
@@ -21,6 +21,8 @@
 /// Header in which an upstream hands over its state of released keys.
 const HANDOVER_HEADER: &str = "carobreel-handover";
 
+/// Maximum size of an answer's body, in bytes. Its content isn't used.
+const ANSWER_BYTES_MAX: usize = 16 << 10;
 /// Maximum idle connections per upstream: calls to one upstream seldom overlap.
 const IDLE_PER_ADDRESS_MAX: usize = 2;
 /// Minimum number of addresses above which those without open connections are removed.
@@ -57,7 +59,9 @@
     fn take(&self, address: SocketAddr) -> HttpClient {
         let mut idle = lock(&self.idle);
         let open = idle.by_address.get_mut(&address).and_then(Vec::pop);
-        open.unwrap_or_else(|| HttpClient::with_reset_on_close(address))
+        open.unwrap_or_else(|| {
+            HttpClient::with_reset_on_close(address).with_answer_bytes_max(ANSWER_BYTES_MAX)
+        })
     }
 
     /// Returns a connection to the pool for the next call to its upstream.
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -333,3 +333,61 @@
         }
     }
 }
+
+/// The body and buffers of one answer, and what the kernel buffers for a connection, in bytes.
+const READ_MAX: usize = 16 << 20;
+
+/// Answers to calls were collected whole: one without end took the process over its memory limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_a_release_without_end_is_given_up_at_its_size_limit() {
+    let chunk: &[u8] = b"4\r\n####\r\n";
+    let starts = [
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            chunk,
+        ),
+        ("HTTP/1.1 200 OK\r\n\r\n", b"#".as_slice()),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n",
+            b"#".as_slice(),
+        ),
+        ("HTTP/1.1 200 OK\r\nA: ", b"#".as_slice()),
+        ("HTTP/1.1 200 OK\r\n", b"A: b\r\n".as_slice()),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+            b"#".as_slice(),
+        ),
+        ("", b"#".as_slice()),
+    ];
+    for (start, part) in starts {
+        let sent = Arc::new(AtomicUsize::new(0));
+        let address = serve_calls(Answers::WithoutEnd(start, part), sent.clone()).await;
+        let client = GrantClient::new(Clock::start());
+        let release = call(address, 1, CallKind::Release, 3_000);
+        let started_at = Instant::now();
+        let result = client.call(release, Mono(u64::MAX)).await;
+        assert_eq!(result, CallResult::Unknown, "{start:?}");
+        let waited = started_at.elapsed();
+        assert!(
+            waited < Duration::from_millis(1_500),
+            "{start:?}: {waited:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let bytes = sent.load(Ordering::SeqCst);
+        assert!(bytes <= READ_MAX, "{start:?}: {bytes} bytes were taken");
+    }
+}
+
+/// Interim responses are no answer: a call that gets nothing else ends at its time limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_responses_without_end_keep_a_call_no_longer_than_its_time_limit() {
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let address = serve_calls(Answers::WithoutEnd("", interim), Arc::default()).await;
+    let client = GrantClient::new(Clock::start());
+    let started_at = Instant::now();
+    let release = call(address, 1, CallKind::Release, 300);
+    let result = client.call(release, Mono(u64::MAX)).await;
+    assert_eq!(result, CallResult::Unknown);
+    let waited = started_at.elapsed();
+    assert!(waited < Duration::from_millis(1_000), "{waited:?}");
+}
