Bound the memory of callers' bodies and of the API's requests (Fault)

Cause: bodies were collected, copied once more to join them, and not bounded together. Evidence: bodies_beyond_the_memory_for_all_of_them_are_refused_at_once: three such bodies were taken at once before. Why it works: bodies take shares of half of the process's memory and are joined in place; one that doesn't fit is refused at once with 503 and Retry-After, unread. Buffered responses share an eighth and are streamed beyond it. The API, the metrics and readiness checks bound connections, heads, bodies and times.

--- a/src/cmd/directory.rs
+++ b/src/cmd/directory.rs
@@ -6,6 +6,7 @@
 use carobreel::credentials;
 use carobreel::directory::daemon::{Directory, Settings};
 use carobreel::exposition;
+use carobreel::http_server;
 use carobreel::lock::lock;
 use carobreel::platform::api;
 use carobreel::platform::grant_client::GrantClient;
@@ -65,7 +66,7 @@
             .await
             .map_err(|e| to_error(format!("can't listen on {operators}: {e}")))?;
         let router = api::router(directory.handle(), recorder.clone());
-        let server = tokio::spawn(async move { axum::serve(listener, router).await });
+        let server = tokio::spawn(http_server::serve(listener, router, recorder.clone()));
         while let ServeEvent::SettingsChanged(changed) = context.events.next(&recorder).await {
             *lock(&seeds) = changed.seeds;
         }
--- a/src/exposition.rs
+++ b/src/exposition.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 
 use crate::event::{Event, Recorder};
+use crate::http_server;
 
 /// Content type of the OpenMetrics text format.
 const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -44,14 +45,11 @@
         async move { ([(CONTENT_TYPE, TEXT_FORMAT)], text) }
     };
     let router = Router::new().route("/metrics", get(answer));
-    let served = match TcpListener::bind(address).await {
-        Ok(listener) => axum::serve(listener, router).await,
-        Err(e) => Err(e),
-    };
-    if let Err(e) = served {
-        recorder.record(Event::MetricsUnavailable {
+    match TcpListener::bind(address).await {
+        Ok(listener) => http_server::serve(listener, router, recorder).await,
+        Err(e) => recorder.record(Event::MetricsUnavailable {
             address: address.to_string(),
             reason: e.to_string(),
-        });
+        }),
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -174,6 +174,7 @@
         let source = ResponseSource {
             client: client.clone(),
             connection,
+            memory: clients.response_memory.share(),
             keep_alive_ms: metadata.keep_alive_ms,
             clock: *clock,
             remaining: Duration::from_millis(self.remaining_ms)
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::body_memory::BodyShare;
 use crate::clock::Clock;
 use crate::entry::body::TruncatedAnswer;
 use crate::entry::pool::Connection;
@@ -24,8 +25,8 @@
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub enum ResponseBody {
-    /// A complete body.
-    Complete(Full<Bytes>),
+    /// A complete body, with the memory that it takes if it came from an upstream.
+    Complete(Full<Bytes>, Option<BodyShare>),
     /// A body that is still being received from an upstream.
     Streamed(Box<StreamedBody>),
 }
@@ -33,13 +34,13 @@
 impl ResponseBody {
     /// Returns a complete body.
     pub fn complete(bytes: impl Into<Bytes>) -> ResponseBody {
-        ResponseBody::Complete(Full::new(bytes.into()))
+        ResponseBody::Complete(Full::new(bytes.into()), None)
     }
 
     /// Returns the known lower bound of the length, in bytes.
     pub fn min_bytes(&self) -> u64 {
         match self {
-            ResponseBody::Complete(body) => body.size_hint().lower(),
+            ResponseBody::Complete(body, _) => body.size_hint().lower(),
             ResponseBody::Streamed(body) => body.size_hint().lower(),
         }
     }
@@ -52,6 +53,8 @@
     pub client: Arc<UpstreamClient>,
     /// The connection.
     pub connection: Connection,
+    /// The memory that the buffered part takes.
+    pub memory: BodyShare,
     /// Idle timeout that the upstream announced for the connection, in milliseconds.
     pub keep_alive_ms: Option<u64>,
     /// The clock.
@@ -61,9 +64,11 @@
 }
 
 impl ResponseSource {
-    fn return_connection(self) {
+    /// Returns the connection to its pool, and the memory of the buffered part.
+    fn return_connection(self) -> BodyShare {
         let pool = &self.client.pool;
         pool.put(self.connection, self.keep_alive_ms, self.clock.now());
+        self.memory
     }
 }
 
@@ -76,22 +81,25 @@
     deadline: Pin<Box<Sleep>>,
 }
 
-/// Reads a response body to its end, or returns it as a stream once `BUFFERED_MAX_BYTES` were read.
+/// Reads a response body to its end, or returns it as a stream once `BUFFERED_MAX_BYTES` were read or the memory
+/// for buffered responses is used up.
 ///
 /// # Errors
 ///
 /// [`TruncatedAnswer`] if the body ends early.
 pub async fn buffer_or_stream(
     mut incoming: Incoming,
-    source: ResponseSource,
+    mut source: ResponseSource,
 ) -> Result<ResponseBody, TruncatedAnswer> {
     let mut buffered = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|_| TruncatedAnswer)?;
+        let mut has_memory = true;
         if let Ok(data) = frame.into_data() {
+            has_memory = source.memory.try_grow(data.len());
             buffered.extend_from_slice(&data);
         }
-        if buffered.len() >= BUFFERED_MAX_BYTES {
+        if !has_memory || buffered.len() >= BUFFERED_MAX_BYTES {
             let deadline = Box::pin(tokio::time::sleep(source.remaining));
             return Ok(ResponseBody::Streamed(Box::new(StreamedBody {
                 buffered: Some(buffered.freeze()),
@@ -101,8 +109,11 @@
             })));
         }
     }
-    source.return_connection();
-    Ok(ResponseBody::complete(buffered))
+    let memory = source.return_connection();
+    Ok(ResponseBody::Complete(
+        Full::new(buffered.freeze()),
+        Some(memory),
+    ))
 }
 
 impl StreamedBody {
@@ -146,14 +157,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
         match self.get_mut() {
-            ResponseBody::Complete(body) => Pin::new(body).poll_frame(cx).map_err(|e| match e {}),
+            ResponseBody::Complete(body, _) => {
+                Pin::new(body).poll_frame(cx).map_err(|e| match e {})
+            }
             ResponseBody::Streamed(body) => body.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ResponseBody::Complete(body) => body.is_end_stream(),
+            ResponseBody::Complete(body, _) => body.is_end_stream(),
             // The final poll returns the connection to its pool.
             ResponseBody::Streamed(_) => false,
         }
@@ -161,7 +174,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Complete(body) => body.size_hint(),
+            ResponseBody::Complete(body, _) => body.size_hint(),
             ResponseBody::Streamed(body) => body.size_hint(),
         }
     }
--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 
+use crate::body_memory::{BodyError, BodyMemory, BodyShare};
 use crate::clock::Mono;
 use crate::directory::model::{Key, RepeatPolicy, Route};
 use crate::directory::suspects::SuspectId;
@@ -22,11 +22,16 @@
 use super::upstream_client::UpstreamClient;
 use super::view::DirectoryView;
 
+/// `Retry-After` while the bodies being held leave no memory for another one, in milliseconds.
+const NO_MEMORY_RETRY_AFTER_MS: u64 = 500;
+
 /// A caller's request with its complete body, route and service.
 pub(super) struct CallerRequest<'a> {
     pub(super) metadata: RequestMetadata,
     pub(super) parts: &'a Parts,
     pub(super) body: Bytes,
+    /// The memory that the body takes.
+    pub(super) _body_share: BodyShare,
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     pub(super) key: Option<Key>,
@@ -184,18 +189,23 @@
 pub(super) async fn read_body(
     body: Incoming,
     view: &DirectoryView,
+    memory: &Arc<BodyMemory>,
     timeout_ms: u64,
-) -> Result<Bytes, Failure> {
+) -> Result<(Bytes, BodyShare), Failure> {
     let max_bytes = view.config.limits.body_bytes_max as usize;
-    let reading = Limited::new(body, max_bytes).collect();
+    let reading = memory.read(body, max_bytes);
     let outcome = tokio::time::timeout(Duration::from_millis(timeout_ms), reading).await;
     match outcome {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(read)) => Ok(read),
+        Ok(Err(BodyError::TooLong)) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(Failure::failed(status, "body too long"))
         }
-        Ok(Err(_)) => Err(Failure::failed(StatusCode::BAD_REQUEST, "broken body")),
+        Ok(Err(BodyError::NoMemory)) => {
+            let reason = "no memory for the body";
+            Err(Failure::refused(reason, NO_MEMORY_RETRY_AFTER_MS))
+        }
+        Ok(Err(BodyError::Broken)) => Err(Failure::failed(StatusCode::BAD_REQUEST, "broken body")),
         Err(_) => {
             let status = StatusCode::REQUEST_TIMEOUT;
             Err(Failure::failed(status, "body not read in time"))
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::body_memory::BodyMemory;
 use crate::clock::Clock;
 use crate::credentials::Tls;
 use crate::event::{Event, Recorder};
@@ -56,6 +57,13 @@
 /// Minimum buffer size that the HTTP library supports, in bytes.
 const HEAD_BUFFER_MIN_BYTES: usize = 8_192;
 
+/// Share of the process's memory for callers' bodies, in percent. A body of the usual maximum of 64 MiB fits.
+const CALLER_BODIES_PERCENT: usize = 50;
+/// Share of the process's memory for buffered responses, in percent.
+const BUFFERED_RESPONSES_PERCENT: usize = 12;
+/// Timeout for reading the head of a readiness check.
+const READINESS_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Why a gateway can't start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartError {
@@ -114,12 +122,14 @@
         let (view_tx, view) = watch::channel(Arc::new(DirectoryView::default()));
         let key_counter = Arc::new(KeyCounter::default());
         let tracker = Arc::new(RequestTracker::new(clock, view.clone(), recorder.clone()));
+        let memory_bytes = settings.memory_mb as usize * 1_000_000;
         let link_pacers = LinkPacers::new(settings.link_mbps);
         let metrics = tracker.metrics.clone();
         let clients = Arc::new(UpstreamClients::new(
             recorder.clone(),
             metrics,
             link_pacers.clone(),
+            BodyMemory::with_bytes(memory_bytes * BUFFERED_RESPONSES_PERCENT / 100),
         ));
         let seeds = Arc::new(Mutex::new(settings.seeds.clone()));
         let outage = Arc::new(LeaderOutage::default());
@@ -155,6 +165,7 @@
             key_counter,
             splitter: TrafficSplitter::default(),
             mean_response_kib: Mutex::default(),
+            body_memory: BodyMemory::with_bytes(memory_bytes * CALLER_BODIES_PERCENT / 100),
             is_closing: AtomicBool::new(false),
             clock,
             suspects: suspects.clone(),
@@ -327,6 +338,9 @@
         });
         tokio::spawn(async move {
             let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(READINESS_HEAD_TIMEOUT)
+                .max_buf_size(HEAD_BUFFER_MIN_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             let _ = connection.await;
         });
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::watch;
 
+use crate::body_memory::BodyMemory;
 use crate::clock::Clock;
 use crate::directory::suspects::BrokenRequest;
 use crate::entry::request::strip_hop_by_hop;
@@ -74,6 +75,8 @@
     pub splitter: TrafficSplitter,
     /// Running mean of response sizes by route, in KiB.
     pub mean_response_kib: Mutex<BTreeMap<String, f64>>,
+    /// Memory for callers' bodies.
+    pub body_memory: Arc<BodyMemory>,
     /// Whether the process is stopping, so that responses close their connections.
     pub is_closing: AtomicBool,
     /// The clock.
@@ -139,8 +142,9 @@
         let timeout_ms = meta.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
         let time_limit_ms = timeout_ms.min(route.timeout_ms);
         let deadline = arrived_at.plus(time_limit_ms);
-        let body = match read_body(body, &view, time_limit_ms).await {
-            Ok(body) => body,
+        let memory = &self.state.body_memory;
+        let (body, body_share) = match read_body(body, &view, memory, time_limit_ms).await {
+            Ok(read) => read,
             Err(failure) => return reject(&parts, &meta, failure),
         };
         strip_hop_by_hop(&mut parts.headers);
@@ -156,6 +160,7 @@
             metadata: meta,
             parts: &parts,
             body,
+            _body_share: body_share,
             route,
             service,
             arrived_at,
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
+use crate::body_memory::BodyMemory;
 use crate::clock::{Clock, Mono};
 use crate::directory::model::{Incarnation, Upstream};
 use crate::directory::protocol::UpstreamSpeed;
@@ -184,6 +185,8 @@
     recorder: Recorder,
     metrics: Arc<Metrics>,
     link_pacers: LinkPacers,
+    /// Memory for buffered responses.
+    pub(super) response_memory: Arc<BodyMemory>,
     /// Upstreams that announced in a response that they leave, and weren't reported to the directory yet.
     unreported_leaving: Mutex<Vec<Incarnation>>,
     by_id: Mutex<BTreeMap<String, Arc<UpstreamClient>>>,
@@ -192,17 +195,19 @@
 
 impl UpstreamClients {
     /// Returns an empty set of clients. Ejections are recorded in `recorder` and `metrics`; connections are
-    /// paced by `link_pacers`.
+    /// paced by `link_pacers`, and buffered responses share `response_memory`.
     pub fn new(
         recorder: Recorder,
         metrics: Arc<Metrics>,
         link_pacers: LinkPacers,
+        response_memory: Arc<BodyMemory>,
     ) -> UpstreamClients {
         UpstreamClients {
             rate_limits: RateLimits::new(recorder.clone(), metrics.clone()),
             recorder,
             metrics,
             link_pacers,
+            response_memory,
             unreported_leaving: Mutex::default(),
             by_id: Mutex::default(),
             processing_by_service: Mutex::default(),
--- a/src/host.rs
+++ b/src/host.rs
@@ -15,6 +15,9 @@
 /// Default of the maximum time from a request to stop to the end of the process, in milliseconds.
 const DEFAULT_GRACE_MS: u64 = 6_000;
 
+/// Default of the memory that a process may use, in MB.
+const DEFAULT_MEMORY_MB: u64 = 256;
+
 /// All errors of a settings file. They are displayed one per line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsErrors(pub Vec<String>);
@@ -48,6 +51,7 @@
     retry_slack: Option<f64>,
     retry_window: Option<String>,
     link_mbps: Option<f64>,
+    memory_mb: Option<u64>,
 }
 
 /// The validated settings of a host.
@@ -84,6 +88,8 @@
     pub grace_ms: u64,
     /// Bandwidth of the host's link in each direction, in Mbit/s, if known.
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in MB.
+    pub memory_mb: u64,
     /// Limits on the retries of all entry hosts together.
     pub retry_limits: crate::gateway::retry::RetryLimits,
 }
@@ -184,6 +190,7 @@
             hold_ms: KEY_HOLD_MAX_MS.min(hold_max_ms),
             grace_ms,
             link_mbps: raw.link_mbps,
+            memory_mb: raw.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
             retry_limits: crate::gateway::retry::RetryLimits {
                 ratio,
                 slack: raw.retry_slack.unwrap_or(0.0),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decision code ([`raft`], [`cell`], the tables and limits in [`entry`]) takes time and messages
 //! as input; the daemons in [`control`] and [`entry`] connect it to sockets, disks and clocks.
 
+pub mod body_memory;
 pub mod cell;
 pub mod chart;
 pub mod claim;
@@ -23,6 +24,7 @@
 pub mod history;
 pub mod host;
 pub mod http;
+pub mod http_server;
 pub mod load_generator;
 pub mod local_deployment;
 pub mod lock;
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -1,6 +1,8 @@
 //! The HTTP API for upstreams and operators, served by replicas of the directory.
 
-use axum::body::Bytes;
+use std::sync::Arc;
+
+use axum::body::{Body, Bytes};
 use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::StatusCode;
@@ -8,6 +10,7 @@
 use axum::routing::{get, post};
 use axum::Router;
 
+use crate::body_memory::{BodyError, BodyMemory};
 use crate::directory::handle::Handle;
 use crate::directory::protocol::{DirectoryRequest, Reply};
 use crate::directory::state::StoredConfig;
@@ -16,8 +19,12 @@
 use super::config;
 use super::registration::{parse_heartbeat, parse_leave};
 
-/// Maximum size of a request body, in bytes: a configuration of a few thousand routes.
-const BODY_BYTES_MAX: usize = 16 << 20;
+/// Maximum size of an upstream's message, in bytes.
+const MESSAGE_BYTES_MAX: usize = 64 << 10;
+/// Maximum size of a configuration, in bytes: a few thousand routes.
+const CONFIG_BYTES_MAX: usize = 16 << 20;
+/// Maximum size of all configurations that are being received, in bytes.
+const CONFIG_MEMORY_BYTES: usize = 24 << 20;
 /// `Retry-After` while no leader is known or confirmed, in seconds: about half the time of an election.
 const RETRY_AFTER_SECONDS: &str = "0.5";
 
@@ -25,6 +32,8 @@
 struct ApiState {
     directory: Handle,
     recorder: Recorder,
+    /// The memory for configurations that are being received.
+    config_memory: Arc<BodyMemory>,
 }
 
 /// Returns the router of the API.
@@ -34,10 +43,11 @@
         .route("/v1/instances/{id}/deregister", post(deregister))
         .route("/v1/config/replace", post(replace_config))
         .route("/v1/config/read", get(read_config))
-        .layer(DefaultBodyLimit::max(BODY_BYTES_MAX))
+        .layer(DefaultBodyLimit::max(MESSAGE_BYTES_MAX))
         .with_state(ApiState {
             directory,
             recorder,
+            config_memory: BodyMemory::with_bytes(CONFIG_MEMORY_BYTES),
         })
 }
 
@@ -69,7 +79,13 @@
     }
 }
 
-async fn replace_config(State(state): State<ApiState>, body: Bytes) -> Response {
+async fn replace_config(State(state): State<ApiState>, body: Body) -> Response {
+    let (body, _share) = match state.config_memory.read(body, CONFIG_BYTES_MAX).await {
+        Ok(read) => read,
+        Err(BodyError::TooLong) => return StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        Err(BodyError::NoMemory) => return unavailable(),
+        Err(BodyError::Broken) => return bad_request("the configuration ended early"),
+    };
     let config = match config::parse(&body) {
         Ok(config) => config,
         Err(reason) => {
@@ -102,13 +118,15 @@
         | Reply::Permits { .. }
         | Reply::NoTrial { .. }
         | Reply::NotSuspected
-        | Reply::Suspects(_) => {
-            let headers = [(RETRY_AFTER, RETRY_AFTER_SECONDS)];
-            (StatusCode::SERVICE_UNAVAILABLE, headers).into_response()
-        }
+        | Reply::Suspects(_) => unavailable(),
     }
 }
 
+fn unavailable() -> Response {
+    let headers = [(RETRY_AFTER, RETRY_AFTER_SECONDS)];
+    (StatusCode::SERVICE_UNAVAILABLE, headers).into_response()
+}
+
 fn bad_request(reason: &str) -> Response {
     let body = serde_json::json!({ "error": reason });
     json_response(StatusCode::BAD_REQUEST, body.to_string().into_bytes())
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use testbed::upstream::{Behavior, FakeUpstream};
-use testbed::{document, get, post, Testbed};
+use testbed::{document, get, post, wait_for, Testbed, READY_TIMEOUT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -152,3 +152,64 @@
         .filter(|(len, is_uniform)| *len == 100_000 && *is_uniform);
     assert_eq!(whole.count(), 3);
 }
+
+/// The body that callers announce, and the part that they send, in bytes. The gateway may hold 80 MB of bodies.
+const ANNOUNCED_BYTES: usize = 60_000_000;
+const SENT_BYTES: usize = 30_000_000;
+/// A refusal that reads no body takes a moment only.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
+/// Callers' bodies were collected without a bound on all of them together: a few callers with bodies within the
+/// configured size took a gateway over its memory limit.
+#[tokio::test]
+async fn bodies_beyond_the_memory_for_all_of_them_are_refused_at_once() {
+    let (testbed, upstream) = Testbed::start_with_upstream(81).await;
+    let mut document = document(2);
+    document["limits"]["maxBodyBytes"] = (64 << 20).into();
+    for route in document["routes"].as_array_mut().unwrap() {
+        route["timeout"] = "20s".into();
+    }
+    testbed.configure_until_ready(&document).await;
+    let begin = async |id: &str| {
+        let mut stream = TcpStream::connect(testbed.caller_address()).await.unwrap();
+        let head = format!(
+            "POST /file/x HTTP/1.1\r\nhost: one.example\r\ncarobreel-request-id: {id}\r\n\
+             carobreel-deadline-ms: 15000\r\ncontent-length: {ANNOUNCED_BYTES}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream
+    };
+    let part = vec![b'b'; SENT_BYTES];
+    let mut first = begin("a").await;
+    let mut second = begin("b").await;
+    for stream in [&mut first, &mut second] {
+        stream.write_all(&part).await.unwrap();
+    }
+    let runs = upstream.run_count();
+    let began = Instant::now();
+    let refusal = read_once(&mut begin("c").await).await;
+    let took = began.elapsed();
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("retry-after: 0.5"), "{refusal}");
+    assert!(took < AT_ONCE, "{took:?}");
+    assert_eq!(upstream.run_count(), runs, "a refused request didn't run");
+    // A body without a stated length is refused where the memory ends.
+    let chunk = format!("{:x}\r\n{}\r\n", 1 << 20, "b".repeat(1 << 20));
+    let mut chunked = TcpStream::connect(testbed.caller_address()).await.unwrap();
+    let head = "POST /file/x HTTP/1.1\r\nhost: one.example\r\ncarobreel-request-id: d\r\n\
+                carobreel-deadline-ms: 15000\r\ntransfer-encoding: chunked\r\n\r\n";
+    chunked.write_all(head.as_bytes()).await.unwrap();
+    let mut sent_chunks = 0;
+    while sent_chunks < 60 && chunked.write_all(chunk.as_bytes()).await.is_ok() {
+        sent_chunks += 1;
+    }
+    assert!(sent_chunks < 60, "the body was taken whole");
+    // Once the others are gone, their memory is free.
+    drop((first, second, chunked));
+    wait_for("a body is taken again", READY_TIMEOUT, async || {
+        let mut call = post("/file/x", "e", 9_000);
+        call.body = Bytes::from(vec![b'b'; ANNOUNCED_BYTES]);
+        testbed.request(call).await.is_ok_and(|a| a.status == 200)
+    })
+    .await;
+}
--- a/tests/testbed/direct.rs
+++ b/tests/testbed/direct.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use carobreel::body_memory::BodyMemory;
 use carobreel::clock::Clock;
 use carobreel::daemon::discard_logger;
 use carobreel::directory::model::{self, Incarnation, Phase, RepeatPolicy};
@@ -18,6 +19,8 @@
 
 use super::upstream::FakeUpstream;
 
+/// Memory for buffered responses, in bytes.
+const RESPONSE_MEMORY_BYTES: usize = 16 << 20;
 const REQUEST_ID: HeaderName = HeaderName::from_static("carobreel-request-id");
 
 /// Returns an update of the directory with one upstream.
@@ -57,7 +60,8 @@
         };
         let recorder = Recorder::new("e1", discard_logger());
         let metrics = Arc::new(Metrics::new());
-        let clients = UpstreamClients::new(recorder, metrics, LinkPacers::default());
+        let memory = BodyMemory::with_bytes(RESPONSE_MEMORY_BYTES);
+        let clients = UpstreamClients::new(recorder, metrics, LinkPacers::default(), memory);
         let clock = Clock::start();
         let view = DirectoryView::default().updated(update(&ready, 1), clock.now());
         DirectSender {
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -248,7 +248,7 @@
         "callers": at(network, host, CALLERS_PORT).to_string(),
         "readiness": at(network, host, READINESS_PORT).to_string(),
         "seeds": [at(network, 1, OPERATORS_PORT).to_string()],
-        "retry_ratio": 0.2, "retry_slack": 50, "link_mbps": link_mbps,
+        "retry_ratio": 0.2, "memory_mb": 160, "retry_slack": 50, "link_mbps": link_mbps,
     });
     let host = HostSettings::parse(&text.to_string()).unwrap();
     let tls = credentials::unverified_tls().unwrap();
