--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,7 +33,7 @@
 use super::head_timeout::HeadTimeoutStream;
 use super::leader_outage::LeaderOutage;
 use super::protocol::Protocol;
-use super::proxy::{Proxy, ProxyState};
+use super::proxy::{Proxy, ProxyState, StopSchedule};
 use super::request_tracker::{RequestTracker, TRAFFIC_LOG_INTERVAL_MS};
 use super::retry::RetryBudget;
 use super::suspects::Suspects;
@@ -46,8 +46,15 @@
 /// Time for which new connections are accepted after the request to stop: the load balancer in front only
 /// learns of it by polling readiness.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_200);
+/// Share of the grace period after which no connections are accepted, where that is earlier.
+const ACCEPT_SHARE: f64 = 0.55;
+/// Time for which requests are taken that may last beyond the end of the process: most need only a part of the
+/// time that their callers allow.
+const TAKE_LONG_AFTER_STOP: Duration = Duration::from_millis(2_800);
+/// Share of the grace period after which such requests are refused, where that is earlier.
+const TAKE_LONG_SHARE: f64 = 0.45;
 /// Margin between the end of the process and the end of its grace period, when it would be killed.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
 /// Delay after a failure to accept a connection, such as for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Added to the configured idle timeout of callers' connections.
@@ -166,6 +173,7 @@
             splitter: TrafficSplitter::default(),
             mean_response_kib: Mutex::default(),
             body_memory: BodyMemory::with_bytes(memory_bytes * CALLER_BODIES_PERCENT / 100),
+            stop_schedule: OnceLock::new(),
             is_closing: AtomicBool::new(false),
             clock,
             suspects: suspects.clone(),
@@ -214,19 +222,27 @@
         *lock(&self.seeds) = seeds;
     }
 
-    /// Shuts down: reports not ready at once, stops accepting connections after `ACCEPT_AFTER_STOP`, and then
-    /// waits for in-flight requests until `SHUTDOWN_MARGIN` before the end of `grace`.
+    /// Shuts down: reports not ready at once, refuses requests that may outlast the process from
+    /// `TAKE_LONG_AFTER_STOP` on, stops accepting connections after `ACCEPT_AFTER_STOP`, and then waits for
+    /// in-flight requests until `SHUTDOWN_MARGIN` before the end of `grace`.
     pub async fn stop(self, grace: Duration) {
+        let time_left = grace.saturating_sub(SHUTDOWN_MARGIN);
+        let ends_at = tokio::time::Instant::now() + time_left;
+        let after = |time: Duration| self.proxy.state.clock.now().plus(time.as_millis() as u64);
+        self.proxy.begin_stop(StopSchedule {
+            refuse_long_from: after(TAKE_LONG_AFTER_STOP.min(grace.mul_f64(TAKE_LONG_SHARE))),
+            ends_at: after(time_left),
+        });
+        let accept_for = ACCEPT_AFTER_STOP.min(grace.mul_f64(ACCEPT_SHARE));
         self.is_stopping.store(true, Ordering::Relaxed);
         self.recorder
             .record(Event::ProcessStopping { in_flight: 0 });
         tokio::time::sleep(CLOSE_CONNECTIONS_AFTER).await;
         self.proxy.close_connections();
-        tokio::time::sleep(ACCEPT_AFTER_STOP - CLOSE_CONNECTIONS_AFTER).await;
+        tokio::time::sleep(accept_for.saturating_sub(CLOSE_CONNECTIONS_AFTER)).await;
         // Fails only if the serving task has ended.
         let _ = self.stop.send(true);
-        let remaining = grace.saturating_sub(ACCEPT_AFTER_STOP + SHUTDOWN_MARGIN);
-        if tokio::time::timeout(remaining, self.serve_task)
+        if tokio::time::timeout_at(ends_at, self.serve_task)
             .await
             .is_err()
         {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::body_memory::BodyMemory;
-use crate::clock::Clock;
+use crate::clock::{Clock, Mono};
 use crate::directory::suspects::BrokenRequest;
 use crate::entry::request::strip_hop_by_hop;
 use crate::lock::lock;
@@ -46,6 +46,18 @@
 /// `Retry-After` when no upstream could run the request, in milliseconds.
 const BUSY_RETRY_AFTER_MS: u64 = 150;
 
+/// `Retry-After` of a host that stops before it could answer, in milliseconds: other hosts can answer now.
+const STOPPING_RETRY_AFTER_MS: u64 = 100;
+
+/// When a process that stops takes which requests.
+#[derive(Clone, Copy, Debug)]
+pub struct StopSchedule {
+    /// From then on, requests that may last beyond the end of the process are refused.
+    pub refuse_long_from: Mono,
+    /// When requests in flight are cut off.
+    pub ends_at: Mono,
+}
+
 /// Serves callers' requests. Clones share the state.
 #[derive(Clone, Debug)]
 pub struct Proxy<P> {
@@ -77,6 +89,8 @@
     pub mean_response_kib: Mutex<BTreeMap<String, f64>>,
     /// Memory for callers' bodies.
     pub body_memory: Arc<BodyMemory>,
+    /// The schedule of the process's stop, once it has begun.
+    pub stop_schedule: OnceLock<StopSchedule>,
     /// Whether the process is stopping, so that responses close their connections.
     pub is_closing: AtomicBool,
     /// The clock.
@@ -97,6 +111,11 @@
         }
     }
 
+    /// Begins to stop. Only the first schedule counts.
+    pub fn begin_stop(&self, schedule: StopSchedule) {
+        self.state.stop_schedule.get_or_init(|| schedule);
+    }
+
     /// Closes callers' connections after their next response.
     pub fn close_connections(&self) {
         self.state.is_closing.store(true, Ordering::Relaxed);
@@ -142,6 +161,13 @@
         let timeout_ms = meta.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
         let time_limit_ms = timeout_ms.min(route.timeout_ms);
         let deadline = arrived_at.plus(time_limit_ms);
+        let stop_schedule = self.state.stop_schedule.get();
+        let may_be_cut_off =
+            |s: &StopSchedule| arrived_at >= s.refuse_long_from && deadline > s.ends_at;
+        if stop_schedule.is_some_and(may_be_cut_off) {
+            let failure = Failure::refused("stopping", STOPPING_RETRY_AFTER_MS);
+            return reject(&parts, &meta, failure);
+        }
         let memory = &self.state.body_memory;
         let (body, body_share) = match read_body(body, &view, memory, time_limit_ms).await {
             Ok(read) => read,
