--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -117,6 +117,16 @@
             "No route of configuration {config}, which was in force on this host, \
              matches host {host:?} and the path."
         ),
+        "stopping" => {
+            "This host was stopping, and the request could have outlasted it; it wasn't sent \
+                       to any upstream."
+                .to_string()
+        }
+        "no memory for the body" => {
+            "The bodies that this host held left no memory for the request's; it wasn't sent to \
+             any upstream."
+                .to_string()
+        }
         "no configuration" => {
             let started = related
                 .iter()
--- a/tests/following.rs
+++ b/tests/following.rs
@@ -173,27 +173,11 @@
                 else {
                     return;
                 };
-                let update = Update {
-                    versions: Versions {
-                        config: 1,
-                        ..Versions::default()
-                    },
-                    config: Some(ConfigUpdate {
-                        version: 1,
-                        base: None,
-                        routes: Vec::new(),
-                        removed: Vec::new(),
-                        services: BTreeMap::new(),
-                        limits: Default::default(),
-                    }),
-                    ..Update::default()
+                let is_delayed = has_answered.swap(true, Ordering::SeqCst);
+                let response = match is_delayed {
+                    true => answer_with_config(1),
+                    false => Response::Directory(Reply::Update(Box::default())),
                 };
-                let update = match has_answered.swap(true, Ordering::SeqCst) {
-                    true => update,
-                    false => Update::default(),
-                };
-                let is_delayed = update.config.is_some();
-                let response = Response::Directory(Reply::Update(Box::new(update)));
                 if is_delayed {
                     write_slowly(&mut tx, &recorder, response, ANSWER_DELAY).await;
                 } else {
