Let renewals share connections at upstreams that echo no request id

Change: only first grants and releases need an answer that is certain to be theirs; they get a connection of their own there. Ruled out: load alone (the price of connections shows it).

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -84,6 +84,8 @@
         hold_ms: u64,
         /// The handover data of the previous owner.
         handover: Option<String>,
+        /// Whether the upstream has acknowledged a grant of these keys under this fencing token before.
+        is_renewal: bool,
     },
     /// Asks the upstream to release keys.
     Release,
--- a/src/directory/lessor/renew.rs
+++ b/src/directory/lessor/renew.rs
@@ -47,6 +47,7 @@
             };
             renewal.in_flight = true;
             let handover = renewal.handover.clone();
+            let is_renewal = renewal.granted;
             let (service, fence, from) = grant_id.clone();
             let pending = PendingCall::Grant {
                 owner,
@@ -65,6 +66,7 @@
                 kind: CallKind::Grant {
                     hold_ms: self.hold_ms,
                     handover,
+                    is_renewal,
                 },
                 timeout_ms: GRANT_TIMEOUT_MS,
             });
--- a/src/platform/grant_client.rs
+++ b/src/platform/grant_client.rs
@@ -38,12 +38,20 @@
 /// Idle connections by address.
 #[derive(Debug)]
 struct IdleConnections {
-    by_address: BTreeMap<SocketAddr, Vec<HttpClient>>,
+    by_address: BTreeMap<SocketAddr, Vec<IdleConnection>>,
     /// Number of addresses above which those without open connections are removed: twice the number left
     /// after the last removal, but at least `SWEEP_ADDRESSES_MIN`.
     sweep_above: usize,
 }
 
+/// A connection on which every call was answered.
+#[derive(Debug)]
+struct IdleConnection {
+    client: HttpClient,
+    /// Whether its answers had the ids of their calls.
+    has_ids: bool,
+}
+
 impl GrantClient {
     /// Returns a client without any connections.
     pub fn new(clock: Clock) -> GrantClient {
@@ -56,39 +64,45 @@
         }
     }
 
-    fn take(&self, address: SocketAddr) -> HttpClient {
+    /// Returns a connection for a call. Where an upstream's answers have no ids, only renewals share connections.
+    fn take(&self, call: &Call) -> HttpClient {
         let mut idle = lock(&self.idle);
-        let open = idle.by_address.get_mut(&address).and_then(Vec::pop);
-        open.unwrap_or_else(|| {
-            HttpClient::with_reset_on_close(address).with_answer_bytes_max(ANSWER_BYTES_MAX)
-        })
+        let clients = idle.by_address.entry(call.address).or_default();
+        let usable = clients.iter().rposition(|c| c.has_ids || is_renewal(call));
+        match usable {
+            Some(n) => clients.remove(n).client,
+            None => HttpClient::with_reset_on_close(call.address)
+                .with_answer_bytes_max(ANSWER_BYTES_MAX),
+        }
     }
 
     /// Returns a connection to the pool for the next call to its upstream.
-    fn put_back(&self, address: SocketAddr, client: HttpClient) {
+    fn put_back(&self, address: SocketAddr, client: HttpClient, has_ids: bool) {
         let mut idle = lock(&self.idle);
         if idle.by_address.len() > idle.sweep_above {
-            let is_open = |clients: &[HttpClient]| clients.iter().any(HttpClient::is_open);
+            let is_open = |clients: &[IdleConnection]| clients.iter().any(|c| c.client.is_open());
             idle.by_address.retain(|_, clients| is_open(clients));
             idle.sweep_above = SWEEP_ADDRESSES_MIN.max(2 * idle.by_address.len());
         }
         let clients = idle.by_address.entry(address).or_default();
         if clients.len() < IDLE_PER_ADDRESS_MAX {
-            clients.push(client);
+            clients.push(IdleConnection { client, has_ids });
         }
     }
 }
 
 impl GrantTransport for GrantClient {
     async fn call(&self, call: Call, until: Mono) -> CallResult {
-        let mut client = self.take(call.address);
+        let mut client = self.take(&call);
         let is_reused = client.is_open();
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, client.open()).await;
         if !matches!(opened, Ok(Ok(()))) {
             return CallResult::NotSent;
         }
         if self.clock.now() >= until {
-            self.put_back(call.address, client);
+            if is_reused {
+                self.put_back(call.address, client, false);
+            }
             return CallResult::LeaseEnded;
         }
         let request_id = format!("{:016x}", rand::random::<u64>());
@@ -98,12 +112,16 @@
         match client.send(request).await {
             Ok(answer) => match answer.header(REQUEST_ID.as_str()) {
                 id if id == request_id => {
-                    self.put_back(call.address, client);
+                    self.put_back(call.address, client, true);
+                    call_result(&answer)
+                }
+                // Without an id, only the first answer on a connection is certain to be this call's; a later
+                // one may be a copy. Renewals accept that: the upstream holds the keys already, and the next
+                // renewal follows within half of the hold.
+                "" if !is_reused || is_renewal(&call) => {
+                    self.put_back(call.address, client, false);
                     call_result(&answer)
                 }
-                // Only the first answer on a connection needs no id to be this call's. Later ones could be
-                // copies of it, so the connection isn't used again.
-                "" if !is_reused => call_result(&answer),
                 _ => CallResult::Mismatched,
             },
             // The caller logs the failure with the result.
@@ -114,7 +132,9 @@
 
 fn build_request(call: &Call) -> crate::http::HttpRequest {
     let request = match &call.kind {
-        CallKind::Grant { hold_ms, handover } => {
+        CallKind::Grant {
+            hold_ms, handover, ..
+        } => {
             let mut body = json!({
                 "from": call.from,
                 "to": call.to,
@@ -134,6 +154,17 @@
     request.header(EXPECTED_UPSTREAM.as_str(), &call.upstream)
 }
 
+fn is_renewal(call: &Call) -> bool {
+    let kind = &call.kind;
+    matches!(
+        kind,
+        CallKind::Grant {
+            is_renewal: true,
+            ..
+        }
+    )
+}
+
 fn call_result(answer: &HttpResponse) -> CallResult {
     match answer.status {
         StatusCode::OK => {
