Record a fake upstream's run before it writes the copy of a refusal

Traced: the fake upstream wrote the copy first and recorded the run afterwards, so that the run of one attempt could be counted as that of the next.

--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -338,15 +338,18 @@
                 };
                 format_response(503, &format!("{id}carobreel-not-executed: 1\r\n"), "")
             });
-            stream.write_all(refusal.as_bytes()).await?;
             if earlier.is_none() {
+                stream.write_all(refusal.as_bytes()).await?;
                 let mut observed = self.observed.lock().unwrap();
                 observed.refusals.insert(port, refusal);
                 return Ok(true);
             }
+            // The copy may be taken for the answer: the run is recorded first, as every run is.
+            self.record_run(&id);
+            stream.write_all(refusal.as_bytes()).await?;
+        } else {
+            self.record_run(&id);
         }
-        let run = (id.clone(), Instant::now());
-        self.observed.lock().unwrap().runs.push(run);
         if let Behavior::EndsOn(suffix) = behavior {
             let path = head.split(' ').nth(1).unwrap_or("");
             tokio::time::sleep(WORK).await;
@@ -436,6 +439,11 @@
         }
         Ok(keeps_open)
     }
+
+    fn record_run(&self, id: &str) {
+        let run = (id.to_string(), Instant::now());
+        self.observed.lock().unwrap().runs.push(run);
+    }
 }
 
 async fn close_gracefully(stream: &mut TcpStream) -> std::io::Result<()> {
