--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use axum::body::{Body, Bytes};
-use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::extract::{Path, State};
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::Router;
 
-use crate::body_memory::{BodyError, BodyMemory};
+use crate::body_memory::{BodyError, BodyMemory, BodyShare};
 use crate::directory::handle::Handle;
 use crate::directory::protocol::{DirectoryRequest, Reply};
 use crate::directory::state::StoredConfig;
@@ -20,7 +20,9 @@
 use super::registration::{parse_heartbeat, parse_leave};
 
 /// Maximum size of an upstream's message, in bytes.
-const MESSAGE_BYTES_MAX: usize = 64 << 10;
+const MESSAGE_BYTES_MAX: usize = 512 << 10;
+/// Maximum size of all messages of upstreams that are being received, in bytes.
+const MESSAGE_MEMORY_BYTES: usize = 16 << 20;
 /// Maximum size of a configuration, in bytes: a few thousand routes.
 const CONFIG_BYTES_MAX: usize = 16 << 20;
 /// Maximum size of all configurations that are being received, in bytes.
@@ -32,6 +34,8 @@
 struct ApiState {
     directory: Handle,
     recorder: Recorder,
+    /// The memory for messages of upstreams that are being received.
+    message_memory: Arc<BodyMemory>,
     /// The memory for configurations that are being received.
     config_memory: Arc<BodyMemory>,
 }
@@ -43,15 +47,32 @@
         .route("/v1/instances/{id}/deregister", post(deregister))
         .route("/v1/config/replace", post(replace_config))
         .route("/v1/config/read", get(read_config))
-        .layer(DefaultBodyLimit::max(MESSAGE_BYTES_MAX))
         .with_state(ApiState {
             directory,
             recorder,
+            message_memory: BodyMemory::with_bytes(MESSAGE_MEMORY_BYTES),
             config_memory: BodyMemory::with_bytes(CONFIG_MEMORY_BYTES),
         })
 }
 
-async fn heartbeat(State(state): State<ApiState>, Path(id): Path<String>, body: Bytes) -> Response {
+/// Reads a request's body, or returns the response to one that can't be read.
+async fn read_body(
+    memory: &Arc<BodyMemory>,
+    body: Body,
+    bytes_max: usize,
+) -> Result<(Bytes, BodyShare), Response> {
+    memory.read(body, bytes_max).await.map_err(|e| match e {
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        BodyError::NoMemory => unavailable(),
+        BodyError::Broken => bad_request("the body ended early"),
+    })
+}
+
+async fn heartbeat(State(state): State<ApiState>, Path(id): Path<String>, body: Body) -> Response {
+    let (body, _share) = match read_body(&state.message_memory, body, MESSAGE_BYTES_MAX).await {
+        Ok(read) => read,
+        Err(response) => return response,
+    };
     match parse_heartbeat(&id, &body) {
         Ok(upstream) => reply_response(
             state
@@ -63,11 +84,11 @@
     }
 }
 
-async fn deregister(
-    State(state): State<ApiState>,
-    Path(id): Path<String>,
-    body: Bytes,
-) -> Response {
+async fn deregister(State(state): State<ApiState>, Path(id): Path<String>, body: Body) -> Response {
+    let (body, _share) = match read_body(&state.message_memory, body, MESSAGE_BYTES_MAX).await {
+        Ok(read) => read,
+        Err(response) => return response,
+    };
     match parse_leave(&id, &body) {
         Ok(incarnation) => reply_response(
             state
@@ -80,11 +101,9 @@
 }
 
 async fn replace_config(State(state): State<ApiState>, body: Body) -> Response {
-    let (body, _share) = match state.config_memory.read(body, CONFIG_BYTES_MAX).await {
+    let (body, _share) = match read_body(&state.config_memory, body, CONFIG_BYTES_MAX).await {
         Ok(read) => read,
-        Err(BodyError::TooLong) => return StatusCode::PAYLOAD_TOO_LARGE.into_response(),
-        Err(BodyError::NoMemory) => return unavailable(),
-        Err(BodyError::Broken) => return bad_request("the configuration ended early"),
+        Err(response) => return response,
     };
     let config = match config::parse(&body) {
         Ok(config) => config,
