--- a/tests/following.rs
+++ b/tests/following.rs
@@ -27,6 +27,13 @@
 const TRANSFER: Duration = Duration::from_millis(2_400);
 const TRANSFER_PARTS: usize = 6;
 
+fn bind_leader(address: SocketAddr) -> (Endpoint, Recorder) {
+    let tls = credentials::unverified_tls().unwrap();
+    let recorder = Recorder::new("leader", discard_logger());
+    let endpoint = Endpoint::bind(address, BTreeMap::new(), &tls, recorder.clone()).unwrap();
+    (endpoint, recorder)
+}
+
 /// Returns an answer that brings a configuration without routes into force.
 fn answer_with_config(version: u64) -> Response {
     let update = Update {
@@ -75,9 +82,7 @@
 
 /// Serves as a leader that brings configuration 1 into force with its first answer and 2 with the others.
 fn serve_second_answer(address: SocketAddr, second: SecondAnswer) -> Arc<Mutex<Vec<Asked>>> {
-    let tls = credentials::unverified_tls().unwrap();
-    let recorder = Recorder::new("leader", discard_logger());
-    let endpoint = Endpoint::bind(address, BTreeMap::new(), &tls, recorder.clone()).unwrap();
+    let (endpoint, recorder) = bind_leader(address);
     let asked: Arc<Mutex<Vec<Asked>>> = Arc::default();
     let record = asked.clone();
     tokio::spawn(async move {
@@ -158,9 +163,7 @@
 /// Serves as a leader whose first answer is empty and arrives at once. The later ones contain a configuration
 /// and are in transfer for long: when they have arrived, they describe the state of `ANSWER_DELAY` ago.
 fn serve_delayed_answers(address: SocketAddr) {
-    let tls = credentials::unverified_tls().unwrap();
-    let recorder = Recorder::new("leader", discard_logger());
-    let endpoint = Endpoint::bind(address, BTreeMap::new(), &tls, recorder.clone()).unwrap();
+    let (endpoint, recorder) = bind_leader(address);
     let has_answered = Arc::new(AtomicBool::new(false));
     tokio::spawn(async move {
         let answering = endpoint.clone();
--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -328,27 +328,28 @@
                 .await?;
             return Ok(true);
         }
+        let mut repeated = None;
         if let Behavior::RepeatsRefusal { with_id } = behavior {
             let port = stream.peer_addr()?.port();
-            let earlier = self.observed.lock().unwrap().refusals.remove(&port);
-            let refusal = earlier.clone().unwrap_or_else(|| {
+            repeated = self.observed.lock().unwrap().refusals.remove(&port);
+            if repeated.is_none() {
                 let id = match with_id {
                     true => format!("carobreel-request-id: {id}\r\n"),
                     false => String::new(),
                 };
-                format_response(503, &format!("{id}carobreel-not-executed: 1\r\n"), "")
-            });
-            if earlier.is_none() {
+                let proof = format!("{id}carobreel-not-executed: 1\r\n");
+                let refusal = format_response(503, &proof, "");
                 stream.write_all(refusal.as_bytes()).await?;
                 let mut observed = self.observed.lock().unwrap();
                 observed.refusals.insert(port, refusal);
                 return Ok(true);
             }
-            // The copy may be taken for the answer: the run is recorded first, as every run is.
-            self.record_run(&id);
+        }
+        let run = (id.clone(), Instant::now());
+        self.observed.lock().unwrap().runs.push(run);
+        // The copy may be taken for the answer, so the run is recorded first.
+        if let Some(refusal) = repeated {
             stream.write_all(refusal.as_bytes()).await?;
-        } else {
-            self.record_run(&id);
         }
         if let Behavior::EndsOn(suffix) = behavior {
             let path = head.split(' ').nth(1).unwrap_or("");
@@ -439,11 +440,6 @@
         }
         Ok(keeps_open)
     }
-
-    fn record_run(&self, id: &str) {
-        let run = (id.to_string(), Instant::now());
-        self.observed.lock().unwrap().runs.push(run);
-    }
 }
 
 async fn close_gracefully(stream: &mut TcpStream) -> std::io::Result<()> {
