Return a streamed response's memory once its buffered part is passed on

Found on reading the change again: the share was held to the end of the stream, so that some twenty long downloads left no memory for buffering, and truncated responses could no longer be retried elsewhere. No test: it shows in the memory account only.

--- a/src/body_memory.rs
+++ b/src/body_memory.rs
@@ -124,11 +124,16 @@
         }
         taken.is_ok()
     }
+
+    /// Returns the memory once the body was passed on.
+    pub fn clear(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.memory.free_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
 }
 
 impl Drop for BodyShare {
     fn drop(&mut self) {
-        let free_bytes = &self.memory.free_bytes;
-        free_bytes.fetch_add(self.bytes, Ordering::Relaxed);
+        self.clear();
     }
 }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -122,6 +122,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
         if let Some(buffered) = self.buffered.take() {
+            if let Some(source) = &mut self.source {
+                source.memory.clear();
+            }
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
