--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -2,6 +2,7 @@
 
 mod workdir;
 
+use std::io::Write;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -12,8 +13,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const GRACE_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Writes the settings of a host; `n` is the last byte of its address.
-fn write_settings(dir: &Workdir, name: &str, n: u8, seeds: &[u8], first_start: bool) {
+/// Returns the settings of a host; `n` is the last byte of its address.
+fn settings_text(dir: &Workdir, name: &str, n: u8, seeds: &[u8], first_start: bool) -> String {
     let at = |host: u8, port: u16| format!("127.78.0.{host}:{port}");
     let is_entry = n > 100;
     let mut text = json!({
@@ -28,7 +29,12 @@
         text["operators"] = json!(at(n, 21_803));
         text["data_folder"] = json!(dir.path().join(format!("data-{name}")));
     }
-    dir.write_file(&format!("{name}.json"), &text.to_string());
+    text.to_string()
+}
+
+fn write_settings(dir: &Workdir, name: &str, n: u8, seeds: &[u8], first_start: bool) {
+    let text = settings_text(dir, name, n, seeds, first_start);
+    dir.write_file(&format!("{name}.json"), &text);
 }
 
 fn spawn_process(dir: &Workdir, role: &str, name: &str) -> Child {
@@ -276,3 +282,40 @@
         assert!(code.is_some_and(|c| c.success()), "{}: {code:?}", p.name);
     }
 }
+
+/// A stop that arrives while the process reads its changed settings is obeyed once they are read.
+#[test]
+fn a_stop_signal_that_arrives_during_a_reload_is_not_lost() {
+    let dir = Workdir::new();
+    for (role, n) in [("directory", 31), ("gateway", 131)] {
+        let name = format!("{role}-{n}");
+        let mut process = StoppedProcess {
+            name: name.clone(),
+            child: spawn_serving(&dir, role, n),
+            broken_settings: None,
+            signals: &["TERM"],
+        };
+        // Reading a pipe lasts until its writer has closed it.
+        let path = dir.path().join(format!("{name}.json"));
+        std::fs::remove_file(&path).unwrap();
+        let made = Command::new("mkfifo").arg(&path).status().unwrap();
+        assert!(made.success());
+        send_signal(&process.child, "HUP");
+        let mut pipe = std::fs::File::options().write(true).open(&path).unwrap();
+        // The pipe opens once the process reads it.
+        for signal in process.signals {
+            send_signal(&process.child, signal);
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let text = settings_text(&dir, &name, n, &[n, 9], false);
+        pipe.write_all(text.as_bytes()).unwrap();
+        drop(pipe);
+        let mut code = None;
+        wait_for(&name, GRACE_TIMEOUT, || {
+            code = process.child.try_wait().unwrap();
+            code.is_some()
+        });
+        assert!(code.is_some_and(|c| c.success()), "{name}: {code:?}");
+        assert!(read_log(&dir, &name).contains("SettingsChanged"), "{name}");
+    }
+}
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -402,3 +402,38 @@
     let waited = started_at.elapsed();
     assert!(waited < Duration::from_millis(1_000), "{waited:?}");
 }
+
+/// Calls that a leader has in flight at most: 64 grants and 64 releases.
+const CALLS_MAX: u64 = 128;
+/// The growth of the process's memory that so many answers may cause, in KiB; a leader may use 256 MB.
+const GROWTH_MAX_KIB: u64 = 64 << 10;
+
+fn peak_memory_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse().ok()).unwrap()
+}
+
+/// Answers without end of as many upstreams as a leader calls at once fit its memory together.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_end_of_many_upstreams_at_once_fit_the_memory() {
+    let start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let client = Arc::new(GrantClient::new(Clock::start()));
+    let before = peak_memory_kib();
+    let mut pending = tokio::task::JoinSet::new();
+    for number in 1..=CALLS_MAX {
+        let answers = Answers::WithoutEnd(start, b"4\r\n####\r\n");
+        let address = serve_calls(answers, Arc::default()).await;
+        let client = client.clone();
+        pending.spawn(async move {
+            let release = call(address, number, CallKind::Release, 3_000);
+            client.call(release, Mono(u64::MAX)).await
+        });
+    }
+    for result in pending.join_all().await {
+        assert_eq!(result, CallResult::Unknown);
+    }
+    let growth = peak_memory_kib() - before;
+    assert!(growth <= GROWTH_MAX_KIB, "{growth} KiB");
+}
