Read regions, cold limits and load figures of the two new deployments

Cause: configurations of the new deployments carry allowedRegions, coldStart and coldPerS, heartbeats carry coldRemaining, and load headers a fourth figure. None of them was read.

Change: the fields are decoded in src/platform and stored in the directory's model. A state holds the evacuated availability zones, and updates carry them.

--- a/src/directory/model.rs
+++ b/src/directory/model.rs
@@ -1,10 +1,12 @@
 //! The data that the directory replicates: route configuration, upstreams, and owners of key ranges.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use crate::rate_limit::RateLimit;
+
 /// A key of a service whose keys are divided among its upstreams.
 pub type Key = u16;
 
@@ -47,6 +49,16 @@
     pub targets: Vec<Target>,
     /// The maximum number of upstreams that one request may be sent to.
     pub attempts_max: u32,
+    /// The regions whose upstreams may serve the route; empty if all may.
+    pub allowed_regions: BTreeSet<String>,
+}
+
+impl Route {
+    /// Reports whether upstreams in `region` may serve the route. An upstream of an availability zone that isn't
+    /// known to be in a region may only serve routes without restrictions.
+    pub fn allows_region(&self, region: Option<&str>) -> bool {
+        self.allowed_regions.is_empty() || region.is_some_and(|r| self.allowed_regions.contains(r))
+    }
 }
 
 /// The settings that all upstreams of a service have in common.
@@ -60,6 +72,11 @@
     pub sharded: bool,
     /// How long keys are served slowly by an owner that received them without a handover, in milliseconds.
     pub warmup_ms: u64,
+    /// How long an upstream stays cold after it starts, in milliseconds.
+    pub cold_start_ms: u64,
+    /// The requests per second that a cold upstream bears from all entry hosts together, if it bears fewer than a
+    /// warm one.
+    pub cold_limit: Option<RateLimit>,
 }
 
 /// Limits on what callers may send.
@@ -136,6 +153,8 @@
     pub slots: u32,
     /// Whether it accepts requests.
     pub phase: Phase,
+    /// Whether it is cold: just started, or slow again for another reason.
+    pub is_cold: bool,
 }
 
 impl Upstream {
--- a/src/directory/protocol.rs
+++ b/src/directory/protocol.rs
@@ -216,6 +216,8 @@
     pub upstreams_complete: bool,
     /// The key ranges with a new owner or fencing token, by service and in the order of their tokens.
     pub owners: Vec<(String, Vec<KeyRange>)>,
+    /// The evacuated availability zones, if they changed.
+    pub evacuated_zones: Option<BTreeSet<String>>,
     /// The addresses of all replicas.
     pub replicas: Vec<String>,
     /// The number of entry hosts that watch the directory.
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -136,6 +136,8 @@
     pub upstreams: u64,
     /// The newest fencing token, which changes with the owners of keys.
     pub owners: u64,
+    /// The log index of the last change of the evacuated availability zones.
+    pub evacuations: u64,
 }
 
 /// The whole replicated state.
@@ -160,6 +162,8 @@
     pub suspects: Suspects,
     /// Upstreams that left, or whose records were removed.
     pub departures: Departures,
+    /// Availability zones whose upstreams are to get no requests and own no keys.
+    pub evacuated_zones: BTreeSet<String>,
 }
 
 impl State {
@@ -289,6 +293,8 @@
             upstreams,
             upstreams_complete,
             owners,
+            evacuated_zones: (known.evacuations != versions.evacuations)
+                .then(|| self.evacuated_zones.clone()),
             replicas: Vec::new(),
             entry_hosts: 0,
             limits_version: 0,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -28,6 +28,8 @@
     pub waiting: u32,
     /// Requests that can be processed at once.
     pub slots: u32,
+    /// How long work takes there now in percent of the usual time, if the upstream says so.
+    pub slowness_percent: Option<u32>,
 }
 
 /// What a response says about the upstream's rate limit.
--- a/src/gateway/traffic_split.rs
+++ b/src/gateway/traffic_split.rs
@@ -113,6 +113,7 @@
     ///     priority: 1,
     ///     targets: vec![target("maps", 30), target("files", 70)],
     ///     attempts_max: 2,
+    ///     allowed_regions: Default::default(),
     /// };
     /// let splitter = TrafficSplitter::default();
     /// let (mut maps, mut far) = (0, 0);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -6,6 +6,7 @@
 
 use crate::directory::model::{CallerLimits, RepeatPolicy, Route, RouteConfig, Service, Target};
 use crate::duration::parse_ms;
+use crate::rate_limit::RateLimit;
 
 /// Maximum timeout of a route, in milliseconds, as the platform specifies it.
 const TIMEOUT_MAX_MS: u64 = 600_000;
@@ -41,6 +42,9 @@
     traffic_split: Vec<DocumentTarget>,
     #[serde(default)]
     max_attempts: Option<u32>,
+    /// Regions whose upstreams may serve the route; empty or absent if all may.
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -62,6 +66,11 @@
     sharded: bool,
     #[serde(default)]
     warmup: Option<String>,
+    #[serde(default)]
+    cold_start: Option<String>,
+    /// Requests per second that a cold upstream bears; 0 or absent if there is no bound.
+    #[serde(default)]
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -136,11 +145,22 @@
 fn convert_service(service: DocumentService) -> Result<(String, Service), String> {
     let subject = format!("service {}", service.name);
     let warmup_ms = parse_time(&subject, "warmup", service.warmup.as_deref())?.unwrap_or(0);
+    let cold_start_ms =
+        parse_time(&subject, "coldStart", service.cold_start.as_deref())?.unwrap_or(0);
+    let cold_limit = match service.cold_per_s.unwrap_or(0.0) {
+        0.0 => None,
+        per_s => Some(
+            RateLimit::from_per_s(per_s)
+                .ok_or_else(|| format!("{subject}: coldPerS {per_s} is not a rate"))?,
+        ),
+    };
     let converted = Service {
         health_path: service.health_path,
         connections_max: service.max_connections,
         sharded: service.sharded,
         warmup_ms,
+        cold_start_ms,
+        cold_limit,
     };
     Ok((service.name, converted))
 }
@@ -204,6 +224,7 @@
         priority: route.priority,
         targets,
         attempts_max: route.max_attempts.unwrap_or(ATTEMPTS_DEFAULT).max(1),
+        allowed_regions: route.allowed_regions.into_iter().collect(),
     })
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,7 +18,8 @@
 /// Proves that the upstream's own code produced the response.
 const SERVER_STAMP: HeaderName = HeaderName::from_static("carobreel-server-stamp");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("carobreel-not-executed");
-/// Running requests, waiting requests and slots, separated by commas.
+/// Running requests, waiting requests, slots, and from some upstreams how long work takes in percent of the
+/// usual time, separated by commas.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("carobreel-server-load");
 /// The id of the responding upstream.
 const UPSTREAM_ID: HeaderName = HeaderName::from_static("carobreel-instance-id");
@@ -86,6 +87,7 @@
         running: next()?,
         waiting: next()?,
         slots: next()?,
+        slowness_percent: next(),
     })
 }
 
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::unix_ms;
 use crate::directory::model::{Incarnation, Phase, Upstream};
+use crate::duration::parse_ms;
 
 /// Maximum length of a name, a version or an address, in bytes.
 const TEXT_BYTES_MAX: usize = 256;
@@ -16,6 +17,7 @@
 const BORN_AHEAD_MAX_MS: u64 = 24 * 3_600_000;
 
 #[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct Heartbeat {
     service: String,
     address: String,
@@ -24,6 +26,9 @@
     version: String,
     slots: u32,
     state: String,
+    /// How much longer the upstream stays cold.
+    #[serde(default)]
+    cold_remaining: Option<String>,
     /// Start time of the process, in Unix milliseconds.
     #[serde(default)]
     born: u64,
@@ -73,6 +78,13 @@
     if heartbeat.slots == 0 || heartbeat.slots > SLOTS_MAX {
         return Err(format!("{} slots are out of range", heartbeat.slots));
     }
+    let cold_remaining_ms = match &heartbeat.cold_remaining {
+        Some(text) => parse_ms(text).ok_or_else(|| {
+            let shown: String = text.chars().take(TEXT_BYTES_MAX).collect();
+            format!("coldRemaining {shown:?} is not a time")
+        })?,
+        None => 0,
+    };
     Ok(Upstream {
         incarnation: Incarnation {
             id: id.to_string(),
@@ -84,6 +96,7 @@
         version: heartbeat.version,
         slots: heartbeat.slots,
         phase,
+        is_cold: cold_remaining_ms > 0,
     })
 }
 
--- a/tests/model/config.rs
+++ b/tests/model/config.rs
@@ -14,6 +14,8 @@
         connections_max: 100,
         sharded: true,
         warmup_ms: 3_000,
+        cold_start_ms: 0,
+        cold_limit: None,
     };
     let config = RouteConfig {
         version,
--- a/tests/model/upstream.rs
+++ b/tests/model/upstream.rs
@@ -88,6 +88,7 @@
             zone: "a".to_string(),
             version: "v1".to_string(),
             slots: 3,
+            is_cold: false,
             phase: if upstream.is_draining {
                 Phase::Draining
             } else {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -32,6 +32,7 @@
         version: "v1".to_string(),
         slots: 3,
         phase,
+        is_cold: false,
     }
 }
 
@@ -59,6 +60,8 @@
             connections_max: 100,
             sharded: true,
             warmup_ms: 3_000,
+            cold_start_ms: 0,
+            cold_limit: None,
         };
         let config = RouteConfig {
             version: 1,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -198,6 +198,7 @@
         running: 3,
         waiting: 1,
         slots: 8,
+        slowness_percent: None,
     };
     assert_eq!(answer.load, Some(load));
     assert_eq!(answer.keep_alive_ms, Some(10_000));
--- a/tests/registering.rs
+++ b/tests/registering.rs
@@ -37,6 +37,7 @@
         version: "v1".to_string(),
         slots: 3,
         phase: Phase::Ready,
+        is_cold: false,
     }
 }
 
--- a/tests/testbed/direct.rs
+++ b/tests/testbed/direct.rs
@@ -57,6 +57,7 @@
             version: "v1".to_string(),
             slots: 3,
             phase: Phase::Ready,
+            is_cold: false,
         };
         let recorder = Recorder::new("e1", discard_logger());
         let metrics = Arc::new(Metrics::new());
--- a/tests/updates.rs
+++ b/tests/updates.rs
@@ -28,6 +28,7 @@
             weight: 1,
         }],
         attempts_max: 2,
+        allowed_regions: Default::default(),
     }
 }
 
