Evacuate availability zones

Cause: operators' calls /v1/evacuate/ZONE/begin and /finish got 404, and nothing set or read State::evacuated_zones.

Change: an order is a command of the directory's log and is acknowledged once the watching entry hosts have it, or after half a second. Repeated orders go through the log as well: a replaced leader must not acknowledge what was revoked meanwhile. Entry hosts send nothing to upstreams of the zone, except that owners of keys get requests until 3.5 s after the last confirmation of a view without the evacuation. The lessor hands their keys to the other upstreams by load and speed, at most 64 ranges at once. While all upstreams of a service are evacuated, its requests are refused at once and its keys stay.

--- a/src/diagnosis.rs
+++ b/src/diagnosis.rs
@@ -6,6 +6,7 @@
 
 mod cause;
 mod describe;
+mod evacuation;
 
 use std::collections::BTreeSet;
 
@@ -251,8 +252,11 @@
 fn lasting_subject(event: &Event) -> Option<(u16, String)> {
     let number = event.description().number;
     match event {
-        Event::RoutesInForce { .. } | Event::DirectoryFollowed { .. } => {
-            Some((number, String::new()))
+        Event::RoutesInForce { .. }
+        | Event::DirectoryFollowed { .. }
+        | Event::EvacuationsInForce { .. } => Some((number, String::new())),
+        Event::EvacuationBegun { zone, .. } | Event::EvacuationFinished { zone, .. } => {
+            Some((0, zone.clone()))
         }
         Event::UpstreamRegistered { upstream, .. } => Some((number, upstream.clone())),
         Event::KeysAssigned { .. } => Some((number, String::new())),
@@ -263,7 +267,9 @@
 fn is_related(record: &EventRecord, end: &RequestEnd<'_>) -> bool {
     let is_same_host = record.host == end.host;
     match &record.event {
+        Event::EvacuationBegun { .. } | Event::EvacuationFinished { .. } => true,
         Event::RoutesInForce { .. }
+        | Event::EvacuationsInForce { .. }
         | Event::DirectoryFollowed { .. }
         | Event::DirectoryLost { .. }
         | Event::ProcessStarted { .. }
--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -1,8 +1,10 @@
 //! Determines why a request ended as it did.
 
 use crate::event::{Event, EventRecord};
+use crate::gateway::evacuation::ALL_EVACUATED;
 use crate::gateway::suspects::{UPSTREAMS_ENDED, UPSTREAMS_ENDED_ON_TRIAL};
 
+use super::evacuation::{describe_evacuations, explain_all_evacuated};
 use super::{assigned_owner, RequestEnd};
 
 /// Other failures count as similar if they happened within this time before or after, in
@@ -53,8 +55,13 @@
         Event::RequestFailed { reason, .. } => {
             let text = match reason.as_str() {
                 "no room in time" => explain_no_room(final_event),
-                "key has no owner in reach" => explain_no_owner(related, end),
-                "no upstream" => explain_no_upstream(events, end),
+                "key has no owner in reach" => {
+                    explain_no_owner(related, end) + &describe_evacuations(events, end)
+                }
+                "no upstream" => {
+                    explain_no_upstream(events, end) + &describe_evacuations(events, end)
+                }
+                ALL_EVACUATED => explain_all_evacuated(events, end),
                 "out of time" => explain_out_of_time(request_events, related),
                 "upstream at its rate limit" => explain_rate_limit(final_event, events, end),
                 UPSTREAMS_ENDED | UPSTREAMS_ENDED_ON_TRIAL => {
--- a/src/diagnosis/describe.rs
+++ b/src/diagnosis/describe.rs
@@ -46,6 +46,18 @@
             "{order} of keys {from} to {to} under fence {fence} to {upstream}: {}",
             result.replace('_', " ")
         ),
+        Event::EvacuationBegun { zone, .. } => {
+            format!("availability zone {zone} is to be evacuated")
+        }
+        Event::EvacuationFinished { zone, .. } => {
+            format!("the evacuation of availability zone {zone} is over")
+        }
+        Event::EvacuationsInForce { zones, .. } if zones.is_empty() => {
+            "treats no availability zone as evacuated".to_string()
+        }
+        Event::EvacuationsInForce {
+            zones, upstreams, ..
+        } => format!("treats these availability zones as evacuated: {zones} ({upstreams} upstreams)"),
         Event::DirectoryFollowed { leader } => format!("follows the directory's leader {leader}"),
         Event::DirectoryLost { age_ms } => {
             format!("has no leader of the directory; its copy of the state is {age_ms} ms old")
--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -3,6 +3,8 @@
 //! Handles two situations in particular: a run of adjacent keys that becomes hot within a second, and an
 //! upstream that joins without keys.
 
+mod evacuation;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::key_rates::{DecayingCounts, KeyRates};
--- a/src/directory/command_events.rs
+++ b/src/directory/command_events.rs
@@ -43,6 +43,9 @@
             service: id.service.clone(),
             digest: id.digest.to_string(),
         },
+        Command::SetEvacuation { zone, is_evacuated } => {
+            return evacuation_event(state, zone, *is_evacuated)
+        }
         Command::Assign {
             service,
             from,
@@ -69,6 +72,20 @@
     }
 }
 
+/// Returns the event for an order about an availability zone, unless it changes nothing.
+fn evacuation_event(state: &State, zone: &str, is_evacuated: bool) -> Vec<Event> {
+    if state.evacuated_zones.contains(zone) == is_evacuated {
+        return Vec::new();
+    }
+    let in_zone = state.upstreams.values().filter(|u| u.zone == zone);
+    let upstreams = in_zone.filter(|u| u.is_ready()).count() as u64;
+    let zone = zone.to_string();
+    vec![match is_evacuated {
+        true => Event::EvacuationBegun { zone, upstreams },
+        false => Event::EvacuationFinished { zone, upstreams },
+    }]
+}
+
 fn suspect_event(change: &SuspectChange, host: &str) -> Event {
     let stage_name = |stage: Option<Stage>| stage.map_or("none", Stage::name).to_string();
     Event::SuspectChanged {
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -5,6 +5,7 @@
 //! results of calls are inputs; the calls to make are the output.
 
 mod call;
+mod evacuation;
 mod grants;
 mod merge;
 mod moves;
@@ -13,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Mono;
+use crate::event::Event;
 
 use super::balance::{OngoingMove, RecentMove, TransferPlanner};
 use super::key_rates::KeyRates;
@@ -21,6 +23,7 @@
 use super::speeds::Speeds;
 use super::state::{Command, State};
 pub use call::{Call, CallId, CallKind, CallResult};
+use evacuation::EvacuationProgress;
 
 /// Identifies a granted range by its service, fencing token and first key.
 type GrantId = (String, u64, Key);
@@ -155,6 +158,8 @@
     pub calls: Vec<Call>,
     /// Commands to propose to the log.
     pub commands: Vec<Command>,
+    /// Events to log.
+    pub events: Vec<Event>,
 }
 
 /// The leader's record of grants, moves and load, from which it decides what to grant and move.
@@ -187,6 +192,7 @@
     hot_key_moves: BTreeMap<(String, Key), Mono>,
     /// Recent moves for load or into a neighbouring range, by service, first and last key.
     recent_moves: BTreeMap<(String, Key, Key), MoveRecord>,
+    evacuation: EvacuationProgress,
 }
 
 impl Lessor {
@@ -215,6 +221,7 @@
             has_reissued_fences: false,
             hot_key_moves: BTreeMap::new(),
             recent_moves: BTreeMap::new(),
+            evacuation: EvacuationProgress::default(),
         }
     }
 
@@ -294,6 +301,9 @@
         }
         if plan_due {
             self.merge_neighbours(state, &mut output);
+            output
+                .events
+                .extend(self.record_evacuation_progress(state, now));
         }
         output
     }
@@ -318,7 +328,10 @@
 
     fn candidates(&self, service: &str, state: &State, now: Mono) -> BTreeSet<Incarnation> {
         let ready = state.upstreams.values().filter(|u| {
-            u.service == service && u.phase == Phase::Ready && !self.is_silent(&u.incarnation, now)
+            u.service == service
+                && u.phase == Phase::Ready
+                && !state.is_evacuated(u)
+                && !self.is_silent(&u.incarnation, now)
         });
         ready.map(|u| u.incarnation.clone()).collect()
     }
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -57,7 +57,9 @@
             .collect();
         let mut new_moves: Vec<(KeyRange, Option<Incarnation>)> = Vec::new();
         for range in table.ranges.values() {
-            if candidates.contains(&range.owner) {
+            if candidates.contains(&range.owner)
+                || self.is_evacuated_by_handover(&range.owner, state, now)
+            {
                 continue;
             }
             for (from, to) in self.parts_not_moving(service, range) {
@@ -79,6 +81,13 @@
             ongoing_moves: &ongoing,
             recent_moves: &recent,
         };
+        let to_evacuate = self.ranges_to_evacuate(service, state, now);
+        let evacuations = self.plan_evacuation(&planner, &to_evacuate, state);
+        // The planner doesn't know of the moves that begin now. Hot keys move nevertheless.
+        let room = match to_evacuate.is_empty() {
+            true => room,
+            false => 0,
+        };
         let load_transfers = planner.transfers(room);
         let room = room - load_transfers.len().min(room);
         let mut merges = self.plan_merges(service, table, &candidates, room);
@@ -100,7 +109,8 @@
                 };
                 ((service.to_string(), t.from, t.to), record)
             }));
-        for transfer in load_transfers.into_iter().chain(merges) {
+        let transfers = load_transfers.into_iter().chain(merges);
+        for transfer in transfers.chain(evacuations) {
             let Some(range) = table.owner_of(transfer.from) else {
                 continue;
             };
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -32,6 +32,8 @@
     config_version: Gauge,
     owners_version: Gauge,
     upstreams: Gauge,
+    evacuated_zones: Gauge,
+    evacuations_version: Gauge,
     voters: Gauge,
     waiting: Gauge,
     lease_left: Gauge,
@@ -77,6 +79,8 @@
             config_version: Gauge::default(),
             owners_version: Gauge::default(),
             upstreams: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuations_version: Gauge::default(),
             voters: Gauge::default(),
             waiting: Gauge::default(),
             lease_left: Gauge::default(),
@@ -101,6 +105,9 @@
         self.config_version.set(state.config_version() as i64);
         self.owners_version.set(state.versions.owners as i64);
         self.upstreams.set(state.upstreams.len() as i64);
+        self.evacuated_zones.set(state.evacuated_zones.len() as i64);
+        self.evacuations_version
+            .set(state.versions.evacuations as i64);
         self.voters.set(raft.membership().voters.len() as i64);
         self.waiting.set(replica.pending_requests() as i64);
         self.lease_left.set(replica.lease_left_ms(now) as i64);
@@ -141,6 +148,16 @@
                 &self.owners_version,
             ),
             ("upstreams", "Registered upstreams", &self.upstreams),
+            (
+                "evacuated_zones",
+                "Evacuated availability zones",
+                &self.evacuated_zones,
+            ),
+            (
+                "evacuations_version",
+                "Log index of the newest change of the evacuated zones",
+                &self.evacuations_version,
+            ),
             (
                 "voters",
                 "Voters in the membership of the log",
--- a/src/directory/protocol.rs
+++ b/src/directory/protocol.rs
@@ -140,6 +140,13 @@
     ListSuspects,
     /// Drops all suspicions against a request, on behalf of an operator.
     ClearSuspect(SuspectId),
+    /// Begins or ends the evacuation of an availability zone, on behalf of an operator.
+    SetEvacuation {
+        /// The availability zone.
+        zone: String,
+        /// Whether it is to be evacuated.
+        is_evacuated: bool,
+    },
 }
 
 /// The difference between a new configuration and an older one.
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -277,6 +277,15 @@
             | DirectoryRequest::ClearSuspect(_) => {
                 return self.handle_suspect_request(request, reply_to, now);
             }
+            // A repeated order goes through the log as well: only its commitment proves that no later leader has
+            // accepted the opposite meanwhile.
+            DirectoryRequest::SetEvacuation { zone, is_evacuated } => {
+                let command = Command::SetEvacuation {
+                    zone: zone.clone(),
+                    is_evacuated: *is_evacuated,
+                };
+                return self.propose(command, reply_to, now);
+            }
             DirectoryRequest::ReadConfig => {}
             DirectoryRequest::Watch {
                 host,
@@ -389,14 +398,7 @@
         let mut change = None;
         if let Payload::Command(bytes) = &entry.payload {
             let command: Command = decode(bytes).expect("a committed command decodes");
-            change = match &command {
-                Command::Register(upstream) if upstream.phase != Phase::Ready => {
-                    Some(Change::Upstreams(entry.index))
-                }
-                Command::Deregister(_) => Some(Change::Upstreams(entry.index)),
-                Command::Configure(stored) => Some(Change::Config(stored.config.version)),
-                _ => None,
-            };
+            change = Change::of(&command, &self.state, entry.index);
             let leads = self.leader_state.is_some();
             // Entries that were stored before the start were logged then.
             if entry.index > self.recovered_index {
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -41,6 +41,7 @@
         let (change, version) = match ack.change {
             Change::Upstreams(index) => ("upstreams", index),
             Change::Config(version) => ("config", version),
+            Change::Evacuations(index) => ("evacuations", index),
         };
         Event::AckedWithoutHosts {
             change: change.to_string(),
@@ -226,6 +227,7 @@
         let may_call = now < leader_state.lease_until;
         let output = leader_state.lessor.step(&self.state, now, may_call);
         self.output.calls.extend(output.calls);
+        self.output.events.extend(output.events);
         self.output.calls_until = leader_state.lease_until;
         let mut commands = output.commands;
         let is_expired = |id: &String| {
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -9,9 +9,10 @@
 use super::super::departures::DepartureAges;
 use super::super::lessor::{Call, CallId, CallResult, Lessor};
 use super::super::membership::MembershipPlanner;
+use super::super::model::Phase;
 use super::super::permits::PermitIssuer;
 use super::super::protocol::{DirectoryRequest, Reply};
-use super::super::state::Versions;
+use super::super::state::{Command, State, Versions};
 use super::super::trials::Trials;
 
 /// Everything that the caller of [`Replica::advance`](super::Replica::advance) has to send or log.
@@ -79,14 +80,34 @@
     Upstreams(u64),
     /// A change of the configuration, by its version.
     Config(u64),
+    /// A change of the evacuated availability zones, by its log index.
+    Evacuations(u64),
 }
 
 impl Change {
+    /// Returns what the entry at `index` changes that is acknowledged only once entry hosts have received it.
+    /// `state` is the one before the entry is applied.
+    pub(super) fn of(command: &Command, state: &State, index: u64) -> Option<Change> {
+        match command {
+            Command::Register(upstream) if upstream.phase != Phase::Ready => {
+                Some(Change::Upstreams(index))
+            }
+            Command::Deregister(_) => Some(Change::Upstreams(index)),
+            Command::Configure(stored) => Some(Change::Config(stored.config.version)),
+            Command::SetEvacuation { zone, is_evacuated } => {
+                let version = state.evacuations_version_after(index, zone, *is_evacuated);
+                Some(Change::Evacuations(version))
+            }
+            _ => None,
+        }
+    }
+
     /// Reports whether a host with these versions has received the change.
     pub(super) fn is_covered_by(self, known_versions: &Versions) -> bool {
         match self {
             Change::Upstreams(index) => known_versions.upstreams >= index,
             Change::Config(version) => known_versions.config >= version,
+            Change::Evacuations(index) => known_versions.evacuations >= index,
         }
     }
 }
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -1,5 +1,7 @@
 //! The replicated state machine of the directory: its commands and the state that they change.
 
+mod evacuation;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -9,6 +11,7 @@
 use super::model::{Incarnation, Key, KeyRange, KeyTable, Phase, Route, RouteConfig, Upstream};
 use super::protocol::{ConfigUpdate, Update};
 use super::suspects::{Acquittal, CrashReport, SuspectChange, SuspectId, Suspects};
+pub use evacuation::join_zones;
 
 /// A configuration together with the document it was parsed from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -125,6 +128,13 @@
     ClearSuspect(SuspectId),
     /// Removes traces of upstreams that left, by id and the log index of the trace.
     ForgetDepartures(Vec<(String, u64)>),
+    /// Sets whether an availability zone is evacuated.
+    SetEvacuation {
+        /// The availability zone.
+        zone: String,
+        /// Whether it is evacuated from then on.
+        is_evacuated: bool,
+    },
 }
 
 /// The versions of the parts of the state.
@@ -231,6 +241,9 @@
                 self.suspects.remove(index, &id);
             }
             Command::ForgetDepartures(list) => self.departures.remove_all(&list),
+            Command::SetEvacuation { zone, is_evacuated } => {
+                self.set_evacuation(index, zone, is_evacuated);
+            }
         }
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -148,6 +148,11 @@
     241 Info SuspectsListed "The requests that this host sends only as trials changed." { on_trial: u64, quarantined: u64, version: u64 }
     242 Warning AcceptFailed "A connection couldn't be accepted." { reason: String }
     243 Warning AckedWithoutHosts "A change was acknowledged although entry hosts that follow the directory don't have it yet." { change: String, version: u64, waited_ms: u64, hosts: u64, names: String, leads_for_ms: u64 }
+    250 Warning EvacuationBegun "The evacuation of an availability zone was decided: its upstreams get no requests and no keys." { zone: String, upstreams: u64 }
+    251 Info EvacuationFinished "The end of the evacuation of an availability zone was decided." { zone: String, upstreams: u64 }
+    252 Warning EvacuationRefused "A call named an availability zone that isn't in the settings; nothing changed." { zone: String }
+    253 Info EvacuationsInForce "The evacuated availability zones changed on an entry host; empty means none." { zones: String, upstreams: u64, version: u64, before: u64, unconfirmed_ms: u64 }
+    254 Info KeysEvacuated "No key belongs to an upstream of an evacuated availability zone any more, apart from services without another upstream." { zones: String, version: u64, over_ms: u64 }
 }
 
 /// An event with its time and host.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -275,10 +275,19 @@
                 unconfirmed_ms: self.clock.now().since(before.confirmed_at),
             });
         }
-        self.view.send_replace(next.clone());
-        if next.versions.upstreams != before.versions.upstreams {
+        // Before the view is published: requests that wait for it use the clients at once.
+        if next.versions.upstreams != before.versions.upstreams
+            || next.versions.evacuations != before.versions.evacuations
+        {
             self.clients.sync_with_view(&next);
         }
+        if next.versions.evacuations != before.versions.evacuations {
+            let unconfirmed_ms = self.clock.now().since(before.confirmed_at);
+            let before = before.versions.evacuations;
+            self.recorder
+                .record(next.evacuations_event(before, unconfirmed_ms));
+        }
+        self.view.send_replace(next);
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -92,6 +92,10 @@
     pub suspects_refused: Counter,
     /// Suspected requests that an upstream answered.
     pub suspects_acquitted: Counter,
+    /// Evacuated availability zones.
+    pub evacuated_zones: Gauge,
+    /// Ready upstreams in evacuated zones.
+    pub evacuated_upstreams: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
     /// Version of the owner table.
@@ -143,6 +147,8 @@
             suspects_quarantined: Gauge::default(),
             suspects_refused: Counter::default(),
             suspects_acquitted: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_upstreams: Gauge::default(),
             config_version: Gauge::default(),
             owners_version: Gauge::default(),
             view_age_ms: Gauge::default(),
@@ -259,6 +265,16 @@
             "Suspected requests that an upstream answered",
             self.suspects_acquitted.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Evacuated availability zones",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_upstreams",
+            "Ready upstreams in evacuated availability zones",
+            self.evacuated_upstreams.clone(),
+        );
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod clearance;
 pub mod crash_watch;
 pub mod daemon;
+pub mod evacuation;
 pub mod follower;
 pub mod head_timeout;
 pub mod leader_outage;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -233,6 +233,9 @@
             if attempts >= req.route.attempts_max.max(1) as usize {
                 break Failure::refused("attempts used up", BUSY_RETRY_AFTER_MS);
             }
+            if let Err(failure) = self.refuse_if_evacuated(req.service) {
+                break failure;
+            }
             let selection = self
                 .select_upstream(req, &mut tracked.history, refused_fence)
                 .await;
--- a/src/gateway/request_tracker.rs
+++ b/src/gateway/request_tracker.rs
@@ -179,6 +179,7 @@
         let now = self.clock.now();
         let versions = self.view_versions(now);
         let metrics = &self.metrics;
+        metrics.observe_evacuations(&self.view.borrow());
         metrics.config_version.set(versions.config as i64);
         metrics.owners_version.set(versions.owners as i64);
         metrics.view_age_ms.set(versions.age_ms as i64);
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -16,6 +16,7 @@
 use crate::pace::LinkPacers;
 
 use super::balance::{ProcessingMean, UpstreamLoad};
+use super::evacuation::EvacuatedZones;
 use super::metrics::Metrics;
 use super::protocol::ResponseMetadata;
 use super::rate_limit::RateLimits;
@@ -28,6 +29,9 @@
 /// Processing time assumed for a service without samples, in milliseconds.
 pub const INITIAL_PROCESSING_MS: f64 = 90.0;
 
+/// A time that doesn't come.
+const NEVER: Mono = Mono(u64::MAX);
+
 /// The connections to one upstream process, and its load.
 #[derive(Debug)]
 pub struct UpstreamClient {
@@ -44,6 +48,8 @@
     unreported_processing: Mutex<ProcessingTotals>,
     /// Whether the directory no longer lists it as ready.
     is_withdrawn: AtomicBool,
+    /// From when on it gets no requests because its availability zone is evacuated, as a [`Mono`].
+    evacuated_from: AtomicU64,
     /// When the latest of the requests that it answered was sent, as a [`Mono`].
     answered_request_at: AtomicU64,
 }
@@ -72,6 +78,11 @@
         self.is_withdrawn.load(Ordering::Relaxed) || self.load().is_leaving()
     }
 
+    /// Reports whether it gets no requests because its availability zone is evacuated.
+    pub fn is_evacuated(&self, now: Mono) -> bool {
+        now.0 >= self.evacuated_from.load(Ordering::Relaxed)
+    }
+
     /// Records that the upstream answered a request that was sent at `sent_at`.
     pub fn record_answer(&self, sent_at: Mono) {
         self.answered_request_at
@@ -85,13 +96,15 @@
 
     /// Reports whether the upstream accepts requests, by its own responses and the directory.
     pub fn accepts_requests(&self, now: Mono) -> bool {
-        !self.is_withdrawn.load(Ordering::Relaxed) && self.load().accepts_requests(now)
+        !self.is_withdrawn.load(Ordering::Relaxed)
+            && !self.is_evacuated(now)
+            && self.load().accepts_requests(now)
     }
 
     /// Returns the expected response time of a request sent now, in milliseconds, or `None` while the
     /// upstream is ejected or doesn't accept requests.
     pub fn expected_ms_if_available(&self, now: Mono) -> Option<f64> {
-        let is_withdrawn = self.is_withdrawn.load(Ordering::Relaxed);
+        let is_withdrawn = self.is_withdrawn.load(Ordering::Relaxed) || self.is_evacuated(now);
         self.load()
             .expected_ms_if_available(now)
             .filter(|_| !is_withdrawn)
@@ -190,6 +203,8 @@
     /// Upstreams that announced in a response that they leave, and weren't reported to the directory yet.
     unreported_leaving: Mutex<Vec<Incarnation>>,
     by_id: Mutex<BTreeMap<String, Arc<UpstreamClient>>>,
+    /// The evacuated zones of the newest view, for clients that are created by an older one.
+    evacuated_zones: Mutex<Arc<EvacuatedZones>>,
     processing_by_service: Mutex<BTreeMap<String, ProcessingMean>>,
 }
 
@@ -210,6 +225,7 @@
             response_memory,
             unreported_leaving: Mutex::default(),
             by_id: Mutex::default(),
+            evacuated_zones: Mutex::default(),
             processing_by_service: Mutex::default(),
         }
     }
@@ -258,6 +274,9 @@
         let service = view.service(&upstream.service);
         let connections_max = service.map_or(1, |s| s.connections_max);
         let share = connections_max * USABLE_CONNECTIONS_PERCENT / 100 / view.entry_hosts.max(1);
+        let evacuated_from = lock(&self.evacuated_zones)
+            .withdrawn_from(&upstream.zone, service.is_some_and(|s| s.sharded))
+            .unwrap_or(NEVER);
         let client = Arc::new(UpstreamClient {
             incarnation: upstream.incarnation.clone(),
             zone: upstream.zone.clone(),
@@ -271,6 +290,7 @@
             )),
             unreported_processing: Mutex::default(),
             is_withdrawn: AtomicBool::new(false),
+            evacuated_from: AtomicU64::new(evacuated_from.0),
             answered_request_at: AtomicU64::new(0),
         });
         by_id.insert(id.clone(), client.clone());
@@ -341,12 +361,23 @@
         std::mem::take(&mut lock(&self.unreported_leaving))
     }
 
-    /// Removes the clients of upstreams that `view` doesn't contain, and withdraws those that aren't ready.
+    /// Removes the clients of upstreams that `view` doesn't contain, and withdraws those that aren't ready or are in
+    /// evacuated zones.
     pub fn sync_with_view(&self, view: &DirectoryView) {
         let mut by_id = lock(&self.by_id);
+        let evacuated_zones = &view.evacuated_zones;
+        evacuated_zones.clone_into(&mut lock(&self.evacuated_zones));
         by_id.retain(|id, client| {
-            let is_ready = view.find_ready(&client.incarnation).is_some();
-            client.is_withdrawn.store(!is_ready, Ordering::Relaxed);
+            let ready = view.find_ready(&client.incarnation);
+            client
+                .is_withdrawn
+                .store(ready.is_none(), Ordering::Relaxed);
+            let evacuated_from = ready
+                .and_then(|u| evacuated_zones.withdrawn_from(&u.zone, view.is_sharded(&u.service)));
+            let evacuated_from = evacuated_from.unwrap_or(NEVER);
+            client
+                .evacuated_from
+                .store(evacuated_from.0, Ordering::Relaxed);
             view.has_upstream(id)
         });
         self.rate_limits
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,8 +8,10 @@
     Incarnation, Key, KeyTable, Phase, Route, RouteConfig, Service, Upstream,
 };
 use crate::directory::protocol::Update;
-use crate::directory::state::Versions;
+use crate::directory::state::{join_zones, Versions};
+use crate::event::Event;
 
+use super::evacuation::{EvacuatedZones, ReadyIndex};
 use super::upstream_client::UpstreamClient;
 
 /// An immutable view of the directory's state. A newer view replaces an older one as a whole.
@@ -21,11 +23,13 @@
     pub config: Arc<RouteConfig>,
     /// Positions in `config.routes` by host name, the longest path prefix first.
     routes_by_host: Arc<BTreeMap<String, Vec<usize>>>,
-    /// Ready upstreams by service.
-    ready_by_service: Arc<BTreeMap<String, Vec<Upstream>>>,
+    /// Ready upstreams outside evacuated zones.
+    ready: Arc<ReadyIndex>,
     /// All upstreams by id.
     upstreams: Arc<BTreeMap<String, Upstream>>,
     owners: Arc<BTreeMap<String, KeyTable>>,
+    /// The evacuated availability zones.
+    pub evacuated_zones: Arc<EvacuatedZones>,
     /// Addresses of the directory's replicas.
     pub replicas: Vec<String>,
     /// Number of entry hosts that share the upstreams.
@@ -52,7 +56,13 @@
             next.routes_by_host = Arc::new(index_routes(&config));
             next.config = Arc::new(config);
         }
-        if !update.upstreams.is_empty() || update.upstreams_complete {
+        if let Some(zones) = &update.evacuated_zones {
+            let known_at = Some(self.confirmed_at).filter(|at| *at != Mono::default());
+            next.evacuated_zones = Arc::new(self.evacuated_zones.updated(zones, known_at));
+            next.versions.evacuations = update.versions.evacuations;
+        }
+        let has_upstreams = !update.upstreams.is_empty() || update.upstreams_complete;
+        if has_upstreams {
             let mut by_id = if update.upstreams_complete {
                 BTreeMap::new()
             } else {
@@ -61,16 +71,12 @@
             for upstream in update.upstreams {
                 by_id.insert(upstream.incarnation.id.clone(), upstream);
             }
-            let mut ready_by_service: BTreeMap<String, Vec<Upstream>> = BTreeMap::new();
-            for upstream in by_id.values().filter(|u| u.phase == Phase::Ready) {
-                let of_service = ready_by_service
-                    .entry(upstream.service.clone())
-                    .or_default();
-                of_service.push(upstream.clone());
-            }
-            next.ready_by_service = Arc::new(ready_by_service);
             next.upstreams = Arc::new(by_id);
         }
+        if has_upstreams || update.evacuated_zones.is_some() {
+            let upstreams = next.upstreams.values();
+            next.ready = Arc::new(ReadyIndex::new(upstreams, &next.evacuated_zones));
+        }
         if !update.owners.is_empty() {
             let mut owners = (*self.owners).clone();
             for (service, ranges) in update.owners {
@@ -115,13 +121,42 @@
         self.config.services.get(name)
     }
 
-    /// Returns the ready upstreams of a service.
+    /// Returns the ready upstreams of a service outside evacuated zones.
     pub fn ready_upstreams(&self, service: &str) -> &[Upstream] {
-        self.ready_by_service
+        self.ready
+            .by_service
             .get(service)
             .map_or(&[], Vec::as_slice)
     }
 
+    /// Reports whether all ready upstreams of a service are in evacuated zones.
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
+        self.ready.evacuated_services.contains(service)
+    }
+
+    /// Returns the event for evacuations that changed. `before` is the version of the former ones, and
+    /// `unconfirmed_ms` tells for how long the view with them had been unconfirmed.
+    pub(super) fn evacuations_event(&self, before: u64, unconfirmed_ms: u64) -> Event {
+        Event::EvacuationsInForce {
+            zones: join_zones(self.evacuated_zones.names()),
+            upstreams: self.evacuated_upstreams(),
+            version: self.versions.evacuations,
+            before,
+            unconfirmed_ms,
+        }
+    }
+
+    /// Returns the number of ready upstreams in evacuated zones.
+    pub fn evacuated_upstreams(&self) -> u64 {
+        let ready = self.upstreams.values().filter(|u| u.is_ready());
+        ready.filter(|u| self.evacuated_zones.contain(u)).count() as u64
+    }
+
+    /// Reports whether the keys of a service are divided among its upstreams.
+    pub fn is_sharded(&self, service: &str) -> bool {
+        self.service(service).is_some_and(|s| s.sharded)
+    }
+
     /// Reports whether an upstream with this id is known.
     pub fn has_upstream(&self, id: &str) -> bool {
         self.upstreams.contains_key(id)
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -1,5 +1,6 @@
 //! The HTTP API for upstreams and operators, served by replicas of the directory.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use axum::body::{Body, Bytes};
@@ -17,6 +18,7 @@
 use crate::event::{Event, Recorder};
 
 use super::config;
+use super::evacuation;
 use super::registration::{parse_heartbeat, parse_leave};
 
 /// Maximum size of an upstream's message, in bytes.
@@ -31,25 +33,30 @@
 const RETRY_AFTER_SECONDS: &str = "0.5";
 
 #[derive(Clone)]
-struct ApiState {
-    directory: Handle,
-    recorder: Recorder,
+pub(super) struct ApiState {
+    pub(super) directory: Handle,
+    pub(super) recorder: Recorder,
+    /// The availability zones of the settings.
+    pub(super) zones: Arc<BTreeSet<String>>,
     /// The memory for messages of upstreams that are being received.
     message_memory: Arc<BodyMemory>,
     /// The memory for configurations that are being received.
     config_memory: Arc<BodyMemory>,
 }
 
-/// Returns the router of the API.
-pub fn router(directory: Handle, recorder: Recorder) -> Router {
+/// Returns the router of the API of a deployment with these availability zones.
+pub fn router(directory: Handle, recorder: Recorder, zones: BTreeSet<String>) -> Router {
     Router::new()
         .route("/v1/instances/{id}/heartbeat", post(heartbeat))
         .route("/v1/instances/{id}/deregister", post(deregister))
         .route("/v1/config/replace", post(replace_config))
         .route("/v1/config/read", get(read_config))
+        .route("/v1/evacuate/{zone}/begin", post(evacuation::begin))
+        .route("/v1/evacuate/{zone}/finish", post(evacuation::finish))
         .with_state(ApiState {
             directory,
             recorder,
+            zones: Arc::new(zones),
             message_memory: BodyMemory::with_bytes(MESSAGE_MEMORY_BYTES),
             config_memory: BodyMemory::with_bytes(CONFIG_MEMORY_BYTES),
         })
@@ -127,7 +134,7 @@
     reply_response(state.directory.ask(DirectoryRequest::ReadConfig).await)
 }
 
-fn reply_response(reply: Reply) -> Response {
+pub(super) fn reply_response(reply: Reply) -> Response {
     match reply {
         Reply::Done => json_response(StatusCode::OK, b"{}".to_vec()),
         Reply::Config(Some(source)) => json_response(StatusCode::OK, source),
@@ -147,8 +154,12 @@
 }
 
 fn bad_request(reason: &str) -> Response {
+    error_response(StatusCode::BAD_REQUEST, reason)
+}
+
+pub(super) fn error_response(status: StatusCode, reason: &str) -> Response {
     let body = serde_json::json!({ "error": reason });
-    json_response(StatusCode::BAD_REQUEST, body.to_string().into_bytes())
+    json_response(status, body.to_string().into_bytes())
 }
 
 fn json_response(status: StatusCode, body: Vec<u8>) -> Response {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod config;
+mod evacuation;
 pub mod grant_client;
 pub mod headers;
 pub mod registration;
--- a/src/report.rs
+++ b/src/report.rs
@@ -233,6 +233,9 @@
             | Event::TornRecord { .. }
             | Event::RoutesDecided { .. }
             | Event::RoutesRefused { .. }
+            | Event::EvacuationBegun { .. }
+            | Event::EvacuationFinished { .. }
+            | Event::KeysEvacuated { .. }
             | Event::UpstreamDeregistered { .. }
             | Event::DirectoryLost { .. }
             | Event::SettingsChanged { .. }
--- a/tests/model/event.rs
+++ b/tests/model/event.rs
@@ -59,6 +59,8 @@
     Read(u64),
     Drain(usize),
     Announce(usize, u64),
+    /// The number of an order about an availability zone.
+    Evacuate(u64),
     /// An entry host and the number of its attempt.
     Watch(usize, u64),
     Other,
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod disk;
 pub mod entry_host;
+pub mod evacuations;
 pub mod event;
 pub mod faults;
 pub mod requests;
@@ -30,6 +31,7 @@
 use disk::Disk;
 use entry_host::EntryHost;
 pub use entry_host::Load;
+use evacuations::Orders;
 pub use event::Faults;
 use event::{Event, Purpose, ScheduledEvent};
 use upstream::Upstreams;
@@ -103,6 +105,7 @@
     pub uninformed_hosts: usize,
     /// Configurations that were acknowledged too early, with the number of entry hosts that lacked them.
     pub early_acks: Vec<(u64, usize)>,
+    pub orders: Orders,
     /// The current and the maximum number of calls to upstreams in flight.
     pub open_calls: usize,
     pub open_calls_max: usize,
@@ -139,6 +142,7 @@
             late_versions: Vec::new(),
             uninformed_hosts: 0,
             early_acks: Vec::new(),
+            orders: Orders::default(),
             open_calls: 0,
             open_calls_max: 0,
             entry_hosts: (0..load.entry_hosts)
@@ -458,6 +462,7 @@
                     upstream.acked_at.get_or_insert(self.now);
                 }
             }
+            (Purpose::Evacuate(number), Reply::Done) => self.record_order_acked(number),
             (Purpose::Drain(n), Reply::Done) => {
                 let is_first = self.acked_drains.insert(n);
                 self.check_drain(n, is_first);
--- a/tests/model/upstream.rs
+++ b/tests/model/upstream.rs
@@ -10,6 +10,8 @@
 
 /// The number of sampled keys; the key after each one is sampled too.
 const SAMPLE_COUNT: u32 = 256;
+/// The availability zones, to which upstreams belong in turn.
+pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
 #[derive(Clone, Copy, Debug)]
 struct HeldKey {
@@ -29,6 +31,8 @@
     /// Whether it is cut off from the directory. Callers still reach it.
     pub is_cut_off: bool,
     pub is_draining: bool,
+    /// Its availability zone.
+    pub zone: String,
     pub incarnation: Incarnation,
     /// When the directory acknowledged this process's first announcement.
     pub acked_at: Option<u64>,
@@ -60,6 +64,7 @@
             is_running: true,
             is_cut_off: false,
             is_draining: false,
+            zone: ZONES[n % ZONES.len()].to_string(),
             incarnation: Incarnation {
                 id: format!("u{n}"),
                 born_ms: 1_000 + n as u64,
@@ -85,7 +90,7 @@
             incarnation: upstream.incarnation.clone(),
             service: SERVICE.to_string(),
             address: format!("10.1.0.{}:80", n + 1).parse().unwrap(),
-            zone: "a".to_string(),
+            zone: upstream.zone.clone(),
             version: "v1".to_string(),
             slots: 3,
             is_cold: false,
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -6,6 +6,7 @@
 pub mod direct;
 pub mod upstream;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -85,7 +86,7 @@
             .await
             .unwrap();
         let mut recorders = vec![recorder.clone()];
-        let router = api::router(directory.handle(), recorder);
+        let router = api::router(directory.handle(), recorder, zones());
         tokio::spawn(async move { axum::serve(listener, router).await });
         let recorder = Recorder::new("e1", discard_logger());
         recorders.push(recorder.clone());
@@ -243,7 +244,7 @@
 ) -> Gateway<PlatformHeaders> {
     let host = gateway_host(n);
     let text = json!({
-        "host": format!("e{}", n + 1), "zone": "a", "zones": { "a": "north" },
+        "host": format!("e{}", n + 1), "zone": "a", "zones": { "a": "north", "b": "north" },
         "peer_address": at(network, host, PEER_PORT).to_string(),
         "callers": at(network, host, CALLERS_PORT).to_string(),
         "readiness": at(network, host, READINESS_PORT).to_string(),
@@ -264,6 +265,11 @@
     }
 }
 
+/// Returns the availability zones of the deployment.
+pub fn zones() -> BTreeSet<String> {
+    ["a", "b"].map(str::to_string).into()
+}
+
 fn at(network: u8, host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 77, network, host], port))
 }
--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -92,6 +92,7 @@
     pub id: String,
     pub address: SocketAddr,
     service: String,
+    zone: String,
     pub observed: Arc<Mutex<Observations>>,
     behavior: Arc<Mutex<Behavior>>,
     raw_response: Arc<Mutex<Vec<u8>>>,
@@ -103,13 +104,24 @@
 }
 
 impl FakeUpstream {
+    /// Starts an upstream in availability zone `a`.
     pub async fn start(testbed: &Testbed, n: u8, service: &str) -> FakeUpstream {
+        FakeUpstream::start_in_zone(testbed, n, service, "a").await
+    }
+
+    pub async fn start_in_zone(
+        testbed: &Testbed,
+        n: u8,
+        service: &str,
+        zone: &str,
+    ) -> FakeUpstream {
         let address = testbed.upstream_address(n);
         let listener = TcpListener::bind(address).await.unwrap();
         let upstream = FakeUpstream {
             id: format!("u{n}"),
             address,
             service: service.to_string(),
+            zone: zone.to_string(),
             observed: Arc::default(),
             behavior: Arc::new(Mutex::new(Behavior::Normal)),
             raw_response: Arc::default(),
@@ -213,7 +225,7 @@
 
     fn heartbeat(&self, state: &str) -> Value {
         json!({
-            "service": self.service, "address": self.address.to_string(), "zone": "a",
+            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
             "version": "v1", "slots": 3, "state": state, "coldRemaining": "0ms",
             "sequence": 1, "born": self.born_ms.load(Ordering::Relaxed),
         })
