--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -9,6 +9,7 @@
 mod grants;
 mod merge;
 mod moves;
+mod regions;
 mod renew;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,12 +19,13 @@
 
 use super::balance::{OngoingMove, RecentMove, TransferPlanner};
 use super::key_rates::KeyRates;
-use super::model::{uncovered_ranges, Incarnation, Key, KeyRange, KeyTable, Phase};
+use super::model::{uncovered_ranges, Incarnation, Key, KeyRange, KeyTable, Phase, Upstream};
 use super::protocol::UpstreamSpeed;
 use super::speeds::Speeds;
 use super::state::{Command, State};
 pub use call::{Call, CallId, CallKind, CallResult};
 use evacuation::EvacuationProgress;
+use regions::OwnerRegions;
 
 /// Identifies a granted range by its service, fencing token and first key.
 type GrantId = (String, u64, Key);
@@ -151,7 +153,7 @@
     Release,
 }
 
-/// The calls and commands that a step returns.
+/// The calls, commands and events that a step returns.
 #[derive(Clone, Debug, Default)]
 pub struct LessorOutput {
     /// Calls to make, in any order.
@@ -193,6 +195,7 @@
     /// Recent moves for load or into a neighbouring range, by service, first and last key.
     recent_moves: BTreeMap<(String, Key, Key), MoveRecord>,
     evacuation: EvacuationProgress,
+    regions: OwnerRegions,
 }
 
 impl Lessor {
@@ -222,6 +225,7 @@
             hot_key_moves: BTreeMap::new(),
             recent_moves: BTreeMap::new(),
             evacuation: EvacuationProgress::default(),
+            regions: OwnerRegions::default(),
         }
     }
 
@@ -291,6 +295,7 @@
             }
             self.assign_gaps(name, state, now, &mut output);
             if plan_due {
+                self.log_owner_regions(name, state, now, &mut output);
                 self.plan_moves(name, state, now);
             }
         }
@@ -304,6 +309,7 @@
             output
                 .events
                 .extend(self.record_evacuation_progress(state, now));
+            self.log_regions_without_upstreams(state, &mut output);
         }
         output
     }
@@ -326,14 +332,27 @@
         }
     }
 
+    /// Returns the upstreams that may own keys of a service.
     fn candidates(&self, service: &str, state: &State, now: Mono) -> BTreeSet<Incarnation> {
+        let eligible = self.eligible_upstreams(service, state, now);
+        let allowed = self.in_allowed_regions(service, state, eligible);
+        allowed.iter().map(|u| u.incarnation.clone()).collect()
+    }
+
+    /// Returns the upstreams that could own keys of a service in whichever region they are.
+    fn eligible_upstreams<'s>(
+        &self,
+        service: &str,
+        state: &'s State,
+        now: Mono,
+    ) -> Vec<&'s Upstream> {
         let ready = state.upstreams.values().filter(|u| {
             u.service == service
                 && u.phase == Phase::Ready
                 && !state.is_evacuated(u)
                 && !self.is_silent(&u.incarnation, now)
         });
-        ready.map(|u| u.incarnation.clone()).collect()
+        ready.collect()
     }
 
     fn is_silent(&self, incarnation: &Incarnation, now: Mono) -> bool {
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -214,6 +214,13 @@
         }
     }
 
+    /// Returns the number of services whose owners may be in any region because the regions that their routes
+    /// allow have no upstream; 0 unless this replica leads.
+    pub fn services_outside_regions(&self) -> usize {
+        let leader_state = self.leader_state.as_ref();
+        leader_state.map_or(0, |l| l.lessor.services_outside_regions())
+    }
+
     pub(super) fn step_lessor(&mut self, now: Mono) {
         let Some(leader_state) = &mut self.leader_state else {
             return;
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -12,6 +12,7 @@
 use super::super::model::Phase;
 use super::super::permits::PermitIssuer;
 use super::super::protocol::{DirectoryRequest, Reply};
+use super::super::regions::RegionsByZone;
 use super::super::state::{Command, State, Versions};
 use super::super::trials::Trials;
 
@@ -164,4 +165,6 @@
     pub is_process_start: bool,
     /// The seed for the jitter of election intervals.
     pub seed: u64,
+    /// Regions by availability zone.
+    pub regions_by_zone: RegionsByZone,
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -153,6 +153,9 @@
     252 Warning EvacuationRefused "A call named an availability zone that isn't in the settings; nothing changed." { zone: String }
     253 Info EvacuationsInForce "The evacuated availability zones changed on an entry host; empty means none." { zones: String, upstreams: u64, version: u64, before: u64, unconfirmed_ms: u64 }
     254 Info KeysEvacuated "No key belongs to an upstream of an evacuated availability zone any more, apart from services without another upstream." { zones: String, version: u64, over_ms: u64 }
+    260 Info OwnerRegionsChanged "The regions changed in which the directory's leader chooses owners of a service's keys; without upstreams there, owners may be in any region." { service: String, regions: String, is_restricted: bool, has_upstreams: bool, config: u64 }
+    261 Warning RegionsWithoutUpstreams "The set of regions changed that a route allows and in which none of its services has a ready upstream." { count: u64, regions: String, config: u64 }
+    262 Warning RoutesUnserved "The set of routes changed that have no ready upstream in their allowed regions; this entry host refuses their requests." { count: u64, routes: String, config: u64 }
 }
 
 /// An event with its time and host.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -15,6 +15,7 @@
 use crate::transport::Endpoint;
 use crate::wire::{Request, Response};
 
+use super::allowed_regions::UnservedRoutes;
 use super::leader_outage::LeaderOutage;
 use super::suspects::Suspects;
 use super::upstream_client::UpstreamClients;
@@ -83,6 +84,8 @@
     pub clock: Clock,
     /// Records events.
     pub recorder: Recorder,
+    /// Logs routes whose allowed regions have no upstream.
+    pub unserved_routes: UnservedRoutes,
 }
 
 impl DirectoryFollower {
@@ -275,13 +278,16 @@
                 unconfirmed_ms: self.clock.now().since(before.confirmed_at),
             });
         }
+        let has_new_upstreams = next.versions.upstreams != before.versions.upstreams;
+        let has_new_evacuations = next.versions.evacuations != before.versions.evacuations;
         // Before the view is published: requests that wait for it use the clients at once.
-        if next.versions.upstreams != before.versions.upstreams
-            || next.versions.evacuations != before.versions.evacuations
-        {
+        if has_new_upstreams || has_new_evacuations {
             self.clients.sync_with_view(&next);
         }
-        if next.versions.evacuations != before.versions.evacuations {
+        if has_new_upstreams || next.versions.config != before.versions.config {
+            self.unserved_routes.check(&next);
+        }
+        if has_new_evacuations {
             let unconfirmed_ms = self.clock.now().since(before.confirmed_at);
             let before = before.versions.evacuations;
             self.recorder
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -96,6 +96,8 @@
     pub evacuated_zones: Gauge,
     /// Ready upstreams in evacuated zones.
     pub evacuated_upstreams: Gauge,
+    /// Routes and services whose allowed regions have no ready upstream.
+    pub routes_unserved: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
     /// Version of the owner table.
@@ -149,6 +151,7 @@
             suspects_acquitted: Counter::default(),
             evacuated_zones: Gauge::default(),
             evacuated_upstreams: Gauge::default(),
+            routes_unserved: Gauge::default(),
             config_version: Gauge::default(),
             owners_version: Gauge::default(),
             view_age_ms: Gauge::default(),
@@ -275,6 +278,11 @@
             "Ready upstreams in evacuated availability zones",
             self.evacuated_upstreams.clone(),
         );
+        registry.register(
+            "routes_unserved",
+            "Routes and services whose allowed regions have no ready upstream",
+            self.routes_unserved.clone(),
+        );
         registry.register(
             "config_version",
             "Version of the configuration in force",
