--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -284,6 +284,7 @@
         let plan_due = now.since(self.planned_at) >= PLAN_INTERVAL_MS;
         if plan_due {
             self.planned_at = now;
+            self.track_evacuations(state, now);
         }
         for (name, service) in &stored.config.services {
             if !service.sharded {
--- a/src/directory/lessor/evacuation.rs
+++ b/src/directory/lessor/evacuation.rs
@@ -10,13 +10,23 @@
 /// a request, and entry hosts use the former owners for a few seconds only.
 const EVACUATION_MOVES_MAX: usize = RELEASES_IN_FLIGHT_MAX;
 
+/// How long keys return slowly after the end of an evacuation, in milliseconds.
+const RETURN_MS: u64 = 10_000;
+/// The maximum number of ranges that change owner for their load at the same time meanwhile. The upstreams of the zone
+/// have no keys then, and would otherwise get their whole share within a second.
+const RETURN_MOVES_MAX: usize = 6;
+
 /// How far the keys have left the evacuated zones.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct EvacuationProgress {
     /// The version of the evacuations that it is about.
     version: u64,
     began_at: Mono,
+    /// The number of evacuated zones.
+    zones: usize,
     is_complete: bool,
+    /// Until when keys return slowly to a zone that was evacuated.
+    returning_until: Mono,
 }
 
 impl Lessor {
@@ -74,16 +84,44 @@
         planner.evacuation_transfers(ranges, EVACUATION_MOVES_MAX.saturating_sub(ongoing))
     }
 
+    /// Records a change of the evacuated zones.
+    pub(super) fn track_evacuations(&mut self, state: &State, now: Mono) {
+        let before = self.evacuation;
+        if before.version == state.versions.evacuations {
+            return;
+        }
+        let zones = state.evacuated_zones.len();
+        self.evacuation = EvacuationProgress {
+            version: state.versions.evacuations,
+            began_at: now,
+            zones,
+            is_complete: false,
+            returning_until: match zones < before.zones {
+                true => now.plus(RETURN_MS),
+                false => before.returning_until,
+            },
+        };
+    }
+
+    /// Returns how many moves for load may begin now, out of `room`.
+    pub(super) fn room_beside_evacuations(
+        &self,
+        room: usize,
+        to_evacuate: &[KeyRange],
+        now: Mono,
+    ) -> usize {
+        if !to_evacuate.is_empty() {
+            // The planner doesn't know of the moves that begin now. Hot keys move nevertheless.
+            0
+        } else if now < self.evacuation.returning_until {
+            room.min(RETURN_MOVES_MAX.saturating_sub(self.moves.len()))
+        } else {
+            room
+        }
+    }
+
     /// Returns an event once no key belongs to an upstream of an evacuated zone that could be moved.
     pub(super) fn record_evacuation_progress(&mut self, state: &State, now: Mono) -> Option<Event> {
-        let version = state.versions.evacuations;
-        if self.evacuation.version != version {
-            self.evacuation = EvacuationProgress {
-                version,
-                began_at: now,
-                is_complete: false,
-            };
-        }
         if self.evacuation.is_complete || state.evacuated_zones.is_empty() {
             return None;
         }
@@ -99,7 +137,7 @@
         self.evacuation.is_complete = true;
         Some(Event::KeysEvacuated {
             zones: join_zones(&state.evacuated_zones),
-            version,
+            version: self.evacuation.version,
             over_ms: now.since(self.evacuation.began_at),
         })
     }
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -83,11 +83,7 @@
         };
         let to_evacuate = self.ranges_to_evacuate(service, state, now);
         let evacuations = self.plan_evacuation(&planner, &to_evacuate, state);
-        // The planner doesn't know of the moves that begin now. Hot keys move nevertheless.
-        let room = match to_evacuate.is_empty() {
-            true => room,
-            false => 0,
-        };
+        let room = self.room_beside_evacuations(room, &to_evacuate, now);
         let load_transfers = planner.transfers(room);
         let room = room - load_transfers.len().min(room);
         let mut merges = self.plan_merges(service, table, &candidates, room);
