--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -1,6 +1,7 @@
 //! Determines why a request ended as it did.
 
 use crate::event::{Event, EventRecord};
+use crate::gateway::rate_limit::{UPSTREAM_AT_RATE_LIMIT, UPSTREAM_COLD};
 use crate::gateway::suspects::{UPSTREAMS_ENDED, UPSTREAMS_ENDED_ON_TRIAL};
 
 use super::{assigned_owner, RequestEnd};
@@ -56,7 +57,8 @@
                 "key has no owner in reach" => explain_no_owner(related, end),
                 "no upstream" => explain_no_upstream(events, end),
                 "out of time" => explain_out_of_time(request_events, related),
-                "upstream at its rate limit" => explain_rate_limit(final_event, events, end),
+                UPSTREAM_AT_RATE_LIMIT => explain_rate_limit(final_event, events, end),
+                UPSTREAM_COLD => explain_cold_limit(final_event, events, end),
                 UPSTREAMS_ENDED | UPSTREAMS_ENDED_ON_TRIAL => {
                     explain_suspect(request_events, events)
                 }
@@ -334,6 +336,38 @@
     )
 }
 
+/// Explains a request that only a cold upstream could have run.
+fn explain_cold_limit(final_event: &Event, events: &[EventRecord], end: &RequestEnd<'_>) -> String {
+    let Event::RequestFailed {
+        considered: Some(considered),
+        ..
+    } = final_event
+    else {
+        return "Every upstream that could run it was cold and at its limit.".to_string();
+    };
+    let is_earlier = |s: &&EventRecord| s.time.wall_ms <= end.time_ms;
+    let mut earlier = events.iter().rev().filter(is_earlier);
+    let registered = earlier.find_map(|record| match &record.event {
+        Event::ColdnessChanged {
+            upstream,
+            is_cold: true,
+            milli_per_s,
+            ..
+        } if upstream == considered => Some((record.time.wall_ms, *milli_per_s)),
+        _ => None,
+    });
+    let registered = registered.map_or(String::new(), |(wall_ms, milli_per_s)| {
+        format!(
+            ", as the directory has known since {wall_ms}, and takes {} requests a second until it is warm",
+            milli_per_s as f64 / 1_000.0
+        )
+    });
+    format!(
+        "{considered} is cold{registered}; this limit is for all entry hosts together, and this host got no permit \
+         that started in time."
+    )
+}
+
 /// Explains the refusal of a request that upstreams had when they ended.
 fn explain_suspect(request_events: &[&EventRecord], events: &[EventRecord]) -> String {
     let refused = request_events
--- a/src/directory/balance.rs
+++ b/src/directory/balance.rs
@@ -88,6 +88,8 @@
     pub speeds: &'a Speeds,
     /// Upstreams that may own keys.
     pub owners: &'a BTreeSet<Incarnation>,
+    /// Those of them that may be given more keys.
+    pub receivers: &'a BTreeSet<Incarnation>,
     /// Ranges that are already changing owner.
     pub ongoing_moves: &'a [OngoingMove],
     /// Ranges that recently changed owner. They are moved on only from an owner whose load is certainly too
@@ -128,7 +130,8 @@
             self.apply_transfer(&mut loads, &speeds, transfer, baseline);
         }
         while transfers.len() < limit {
-            let Some((receiver, receiver_load)) = select_owner(&loads, |a, b| a < b, |_, _| true)
+            let may_receive = |owner: &Incarnation, _| self.receivers.contains(owner);
+            let Some((receiver, receiver_load)) = select_owner(&loads, |a, b| a < b, may_receive)
             else {
                 break;
             };
@@ -210,7 +213,9 @@
             let Some(owner_speed) = speeds.get(&range.owner).filter(|_| !is_moving(*key)) else {
                 continue;
             };
-            let available = speeds.iter().filter(|(owner, _)| !excluded.contains(owner));
+            let available = speeds
+                .iter()
+                .filter(|(owner, _)| self.receivers.contains(owner) && !excluded.contains(owner));
             let fastest = available.max_by(|a, b| a.1.total_cmp(b.1));
             let Some((receiver, _)) =
                 fastest.filter(|(_, speed)| **speed > owner_speed * MIN_SPEEDUP)
--- a/src/directory/command_events.rs
+++ b/src/directory/command_events.rs
@@ -16,8 +16,11 @@
                 routes: stored.config.routes.len() as u64,
             }
         }
-        Command::Register(upstream) => registration_event(upstream),
-        Command::RegisterAll(list) => return list.iter().map(registration_event).collect(),
+        Command::Register(upstream) => return registration_events(state, upstream, leads),
+        Command::RegisterAll(list) => {
+            let events = list.iter().map(|u| registration_events(state, u, leads));
+            return events.flatten().collect();
+        }
         Command::Deregister(incarnation) => Event::UpstreamDeregistered {
             upstream: incarnation.id.clone(),
         },
@@ -60,6 +63,36 @@
     vec![event]
 }
 
+/// Returns the events for a registration. Changes of coldness are logged by the leader only.
+fn registration_events(state: &State, upstream: &Upstream, leads: bool) -> Vec<Event> {
+    let mut events = vec![registration_event(upstream)];
+    events.extend(coldness_event(state, upstream).filter(|_| leads));
+    events
+}
+
+/// Returns the event for a registration if the upstream becomes cold or warm and its service has a limit for cold ones.
+fn coldness_event(state: &State, upstream: &Upstream) -> Option<Event> {
+    let service = state
+        .config
+        .as_ref()?
+        .config
+        .services
+        .get(&upstream.service)?;
+    let limit = service.cold_limit?;
+    let next = state.resolve_registration(upstream)?;
+    let known = state.find_live(&upstream.incarnation);
+    if known.is_some_and(|u| u.is_cold) == next.is_cold {
+        return None;
+    }
+    Some(Event::ColdnessChanged {
+        upstream: upstream.incarnation.id.clone(),
+        born_ms: upstream.incarnation.born_ms,
+        is_cold: next.is_cold,
+        sequence: next.cold_sequence.unwrap_or(0),
+        milli_per_s: if next.is_cold { limit.milli_per_s() } else { 0 },
+    })
+}
+
 fn registration_event(upstream: &Upstream) -> Event {
     Event::UpstreamRegistered {
         upstream: upstream.incarnation.id.clone(),
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -323,6 +323,21 @@
         ready.map(|u| u.incarnation.clone()).collect()
     }
 
+    /// Returns the upstreams among `candidates` that may be given keys: the warm ones, or all if none is warm. Cold ones
+    /// keep what they own.
+    fn receivers(
+        &self,
+        candidates: &BTreeSet<Incarnation>,
+        state: &State,
+    ) -> BTreeSet<Incarnation> {
+        let warm = candidates.iter().filter(|c| !state.is_limited_as_cold(c));
+        let warm: BTreeSet<Incarnation> = warm.cloned().collect();
+        match warm.is_empty() {
+            true => candidates.clone(),
+            false => warm,
+        }
+    }
+
     fn is_silent(&self, incarnation: &Incarnation, now: Mono) -> bool {
         let heard_at = self
             .bounds
@@ -339,8 +354,8 @@
         if gaps.is_empty() || self.initially_assigned.contains(service) {
             return;
         }
-        let candidates: Vec<Incarnation> =
-            self.candidates(service, state, now).into_iter().collect();
+        let candidates = self.candidates(service, state, now);
+        let candidates: Vec<Incarnation> = self.receivers(&candidates, state).into_iter().collect();
         if candidates.is_empty() {
             return;
         }
--- a/src/directory/lessor/merge.rs
+++ b/src/directory/lessor/merge.rs
@@ -25,17 +25,17 @@
         &self,
         service: &str,
         table: &KeyTable,
-        candidates: &BTreeSet<Incarnation>,
+        receivers: &BTreeSet<Incarnation>,
         room: usize,
     ) -> Vec<Transfer> {
-        let limit = RANGES_ALWAYS_ALLOWED.max(candidates.len() * RANGES_PER_UPSTREAM);
+        let limit = RANGES_ALWAYS_ALLOWED.max(receivers.len() * RANGES_PER_UPSTREAM);
         let mut transfers = Vec::new();
         if table.ranges.len() <= limit {
             return transfers;
         }
         let no_rates = KeyRates::default();
         let rates = self.rates.get(service).unwrap_or(&no_rates);
-        let keys_max = 65_536.0 / candidates.len().max(1) as f64 * SMALL_RANGE_SHARE;
+        let keys_max = 65_536.0 / receivers.len().max(1) as f64 * SMALL_RANGE_SHARE;
         let ranges: Vec<&KeyRange> = table.ranges.values().collect();
         let is_small = |n: usize| {
             let small = ranges[n];
@@ -49,9 +49,9 @@
                 && self.is_stable(service, small)
         };
         let pairs = (0..ranges.len()).filter_map(|n| {
-            let is_candidate = |r: &&KeyRange| candidates.contains(&r.owner);
+            let is_receiver = |r: &&KeyRange| receivers.contains(&r.owner);
             let largest = neighbours(&ranges, n)
-                .filter(is_candidate)
+                .filter(is_receiver)
                 .max_by_key(|r| key_count(r))?;
             let can_merge = is_small(n) && self.is_stable(service, largest);
             can_merge.then_some((key_count(ranges[n]), ranges[n], largest))
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -18,6 +18,7 @@
         if candidates.is_empty() {
             return;
         }
+        let receivers = self.receivers(&candidates, state);
         self.hot_key_moves
             .retain(|_, at| now.since(*at) < HOT_KEY_COOLDOWN_MS);
         let mut ongoing: Vec<OngoingMove> = self
@@ -76,12 +77,13 @@
             rates: self.rates.get(service).unwrap_or(&no_rates),
             speeds: &self.speeds,
             owners: &candidates,
+            receivers: &receivers,
             ongoing_moves: &ongoing,
             recent_moves: &recent,
         };
         let load_transfers = planner.transfers(room);
         let room = room - load_transfers.len().min(room);
-        let mut merges = self.plan_merges(service, table, &candidates, room);
+        let mut merges = self.plan_merges(service, table, &receivers, room);
         merges.retain(|t| {
             load_transfers
                 .iter()
@@ -200,9 +202,10 @@
             return;
         }
         let candidates = self.candidates(&m.service, state, now);
-        let planned_receiver = m.receiver.clone().filter(|r| candidates.contains(r));
+        let receivers = self.receivers(&candidates, state);
+        let planned_receiver = m.receiver.clone().filter(|r| receivers.contains(r));
         let least_loaded = || {
-            candidates
+            receivers
                 .iter()
                 .min_by_key(|c| key_counts.get(*c).copied().unwrap_or(0))
                 .cloned()
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod balance;
 pub mod codec;
+mod coldness;
 mod command_events;
 pub mod daemon;
 pub mod departures;
--- a/src/directory/model.rs
+++ b/src/directory/model.rs
@@ -116,6 +116,15 @@
     pub limits: CallerLimits,
 }
 
+impl RouteConfig {
+    /// Returns the requests per second that an upstream bears from all entry hosts together because it is cold,
+    /// or `None` if it is warm or its service has no such limit.
+    pub fn cold_limit(&self, upstream: &Upstream) -> Option<RateLimit> {
+        let service = self.services.get(&upstream.service);
+        service.filter(|_| upstream.is_cold)?.cold_limit
+    }
+}
+
 /// One run of an upstream process. An upstream that restarts may keep its id.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Incarnation {
@@ -155,6 +164,9 @@
     pub phase: Phase,
     /// Whether it is cold: just started, or slow again for another reason.
     pub is_cold: bool,
+    /// The sequence number of the heartbeat that `is_cold` is from. Heartbeats that don't change `is_cold` leave
+    /// it, so that they needn't be replicated.
+    pub cold_sequence: Option<u64>,
 }
 
 impl Upstream {
--- a/src/directory/permits.rs
+++ b/src/directory/permits.rs
@@ -3,14 +3,20 @@
 //! A permit allows one request. The start times of an upstream's permits are spaced by its limit, so what
 //! reaches it in any window is bounded by the limit alone: it doesn't matter how many hosts there are, how
 //! requests are distributed among them, or which permits are lost with a host or a message.
+//!
+//! The limit is the lowest of the one that the upstream names, which entry hosts report, and the one that it has
+//! while it is cold, which the replicated state contains.
+
+mod cold;
 
 use std::collections::BTreeMap;
 
 use crate::clock::Mono;
-use crate::rate_limit::RateLimit;
+use crate::rate_limit::{lowest_limit, RateLimit};
 
 use super::model::Incarnation;
-use super::protocol::{LimitReport, PermitGrant, PermitRequest};
+use super::protocol::{LimitReport, PermitGrant, PermitRequest, PermitTerms};
+use cold::{cold_lifetime_ms, COLD_IDLE_CREDIT_MS};
 
 /// How long a permit can be used from its start time on, in milliseconds.
 pub const PERMIT_LIFETIME_MS: u64 = 750;
@@ -28,39 +34,75 @@
 const REQUESTS_PER_S: u64 = 200;
 /// Minimum interval between two requests of one host, in milliseconds.
 const PAUSE_MIN_MS: u64 = 20;
-/// Maximum interval between two requests of one host, in milliseconds.
-const PAUSE_MAX_MS: u64 = 1_000;
+/// Maximum interval between two requests of one host, in milliseconds: that of 700 hosts which all ask.
+const PAUSE_MAX_MS: u64 = 3_500;
 /// An entry host that asked within this time counts as one that asks, in milliseconds.
 const ASKING_WINDOW_MS: u64 = 1_000;
+/// The same if [`MANY_ASKING`] hosts or more asked within [`ASKING_WINDOW_MS`]: hosts that ask less than once in it
+/// would be missed.
+const LONG_ASKING_WINDOW_MS: u64 = 4_000;
+const MANY_ASKING: usize = 180;
 
 /// One upstream's limit, and the schedule of its permits.
 #[derive(Debug)]
 struct IssuedLimit {
+    /// The limit that the upstream names.
     limit: Option<RateLimit>,
-    /// When an entry host last read the limit in a response.
-    observed_at: Mono,
+    /// When an entry host last read it in a response; `None` if none has.
+    observed_at: Option<Mono>,
+    /// The limit while the upstream is cold.
+    cold: Option<RateLimit>,
     /// The start time of the next permit, in microseconds.
     next_start_us: u64,
     counts: PermitCounts,
 }
 
 impl IssuedLimit {
+    /// Returns the limit in force.
+    fn effective(&self) -> Option<RateLimit> {
+        lowest_limit([self.limit, self.cold])
+    }
+
+    fn terms(&self) -> Option<PermitTerms> {
+        Some(PermitTerms {
+            limit: self.effective()?,
+            is_cold: self.cold.is_some(),
+            lifetime_ms: self.cold.map_or(PERMIT_LIFETIME_MS, cold_lifetime_ms),
+        })
+    }
+
+    /// Changes the limits. Start times stay apart by the limit before or after it, whichever is higher.
+    fn change(&mut self, change: impl FnOnce(&mut IssuedLimit), now: Mono) {
+        let before = self.effective();
+        change(self);
+        let (Some(before), Some(limit)) = (before, self.effective()) else {
+            return;
+        };
+        // A permit that was far ahead at a lower limit is due earlier at this one.
+        let last_us = self.next_start_us.saturating_sub(before.interval_us());
+        let due_us = last_us.max(now.0 * 1_000) + limit.interval_us();
+        self.next_start_us = self.next_start_us.min(due_us);
+    }
+
     fn report(&self, upstream: &Incarnation, now: Mono) -> LimitReport {
         LimitReport {
             upstream: upstream.clone(),
             limit: self.limit,
-            age_ms: now.since(self.observed_at),
+            age_ms: now.since(self.observed_at.unwrap_or(Mono(0))),
         }
     }
 
     /// Returns the time until the start of each permit for a request, in milliseconds.
     fn take_starts(&mut self, request: &PermitRequest, now: Mono) -> Vec<u64> {
         let mut starts_in_ms = Vec::new();
-        let Some(limit) = self.limit else {
+        let Some(limit) = self.effective() else {
             return starts_in_ms;
         };
         let now_us = now.0 * 1_000;
-        let credit_us = IDLE_CREDIT_MS * 1_000;
+        let credit_us = match self.cold {
+            Some(_) => COLD_IDLE_CREDIT_MS * 1_000,
+            None => IDLE_CREDIT_MS * 1_000,
+        };
         let wait_max_us = request.wait_max_ms.min(RESERVATION_MAX_MS) * 1_000;
         self.next_start_us = self.next_start_us.max(now_us.saturating_sub(credit_us));
         for _ in 0..request.count {
@@ -116,7 +158,7 @@
 
     /// Reports whether a host that knows version `known` must be told of limits.
     pub fn has_news(&self, known: u64) -> bool {
-        !self.upstreams.is_empty() && known != self.version
+        known != self.version && self.upstreams.values().any(|u| u.observed_at.is_some())
     }
 
     /// Records the limit that an entry host knows. Returns the limits before and after if it changed one.
@@ -127,35 +169,42 @@
     ) -> Option<(Option<RateLimit>, Option<RateLimit>)> {
         let report = &request.known;
         let observed_at = Mono(now.0.saturating_sub(report.age_ms));
-        let Some(entry) = self.upstreams.get_mut(&report.upstream) else {
+        let is_named = |u: &IssuedLimit| u.observed_at.is_some();
+        if !self.upstreams.get(&report.upstream).is_some_and(is_named) {
             report.limit?;
-            let entry = IssuedLimit {
-                limit: report.limit,
-                observed_at,
-                next_start_us: now.max(self.starts_from).0 * 1_000,
-                counts: PermitCounts::default(),
-            };
-            self.upstreams.insert(report.upstream.clone(), entry);
+            let entry = self.entry(&report.upstream, now);
+            entry.observed_at = Some(observed_at);
+            entry.change(|entry| entry.limit = report.limit, now);
             self.version += 1;
             return Some((None, report.limit));
-        };
-        if !request.is_observed || observed_at <= entry.observed_at {
+        }
+        let entry = self.upstreams.get_mut(&report.upstream)?;
+        if !request.is_observed || Some(observed_at) <= entry.observed_at {
             return None;
         }
-        entry.observed_at = observed_at;
-        let before = std::mem::replace(&mut entry.limit, report.limit);
+        entry.observed_at = Some(observed_at);
+        let before = entry.limit;
         if before == report.limit {
             return None;
         }
-        if let Some(limit) = report.limit {
-            // A permit that was far ahead at a lower limit is due earlier at this one.
-            let due_us = now.0 * 1_000 + limit.interval_us();
-            entry.next_start_us = entry.next_start_us.min(due_us);
-        }
+        entry.change(|entry| entry.limit = report.limit, now);
         self.version += 1;
         Some((before, report.limit))
     }
 
+    /// Returns the record of an upstream, whose first permit starts at once if it is new.
+    fn entry(&mut self, upstream: &Incarnation, now: Mono) -> &mut IssuedLimit {
+        let next_start_us = now.max(self.starts_from).0 * 1_000;
+        let entry = self.upstreams.entry(upstream.clone());
+        entry.or_insert_with(|| IssuedLimit {
+            limit: None,
+            observed_at: None,
+            cold: None,
+            next_start_us,
+            counts: PermitCounts::default(),
+        })
+    }
+
     /// Records that a host asks, and returns the minimum time until it may ask again, in milliseconds. It grows
     /// with the number of hosts that ask.
     ///
@@ -175,9 +224,13 @@
     /// ```
     pub fn record_request(&mut self, host: &str, now: Mono) -> u64 {
         self.asked_at
-            .retain(|_, at| now.since(*at) < ASKING_WINDOW_MS);
+            .retain(|_, at| now.since(*at) < LONG_ASKING_WINDOW_MS);
         self.asked_at.insert(host.to_string(), now);
-        let hosts = self.asked_at.len() as u64;
+        let is_recent = |at: &&Mono| now.since(**at) < ASKING_WINDOW_MS;
+        let hosts = match self.asked_at.values().filter(is_recent).count() {
+            recent if recent < MANY_ASKING => recent as u64,
+            _ => self.asked_at.len() as u64,
+        };
         (hosts * 1_000 / REQUESTS_PER_S).clamp(PAUSE_MIN_MS, PAUSE_MAX_MS)
     }
 
@@ -212,11 +265,13 @@
                     limit: None,
                     age_ms: request.known.age_ms,
                 },
+                terms: None,
                 starts_in_ms: Vec::new(),
             };
         };
         PermitGrant {
             known: entry.report(&upstream, now),
+            terms: entry.terms(),
             starts_in_ms: entry.take_starts(request, now),
         }
     }
@@ -224,15 +279,18 @@
     /// Returns the limits in force.
     pub fn limits(&self) -> BTreeMap<Incarnation, RateLimit> {
         let in_force = |(upstream, entry): (&Incarnation, &IssuedLimit)| {
-            Some((upstream.clone(), entry.limit?))
+            Some((upstream.clone(), entry.effective()?))
         };
         self.upstreams.iter().filter_map(in_force).collect()
     }
 
-    /// Returns all limits for an entry host, ended ones included.
+    /// Returns the limits that upstreams name, ended ones included, for an entry host.
     pub fn reports(&self, now: Mono) -> Vec<LimitReport> {
-        let report = |(upstream, entry): (&Incarnation, &IssuedLimit)| entry.report(upstream, now);
-        self.upstreams.iter().map(report).collect()
+        let named = self.upstreams.iter();
+        let named = named.filter(|(_, entry)| entry.observed_at.is_some());
+        named
+            .map(|(upstream, entry)| entry.report(upstream, now))
+            .collect()
     }
 
     /// Forgets limits that ended a while ago, and those of upstreams for which `is_known` returns false. Returns
@@ -240,8 +298,11 @@
     pub fn forget_ended(&mut self, is_known: impl Fn(&Incarnation) -> bool, now: Mono) -> bool {
         let before = self.upstreams.len();
         self.upstreams.retain(|upstream, entry| {
-            let is_recent = now.since(entry.observed_at) < ENDED_LIMIT_KEPT_MS;
-            is_known(upstream) && (entry.limit.is_some() || is_recent)
+            let is_recent = |at: Mono| now.since(at) < ENDED_LIMIT_KEPT_MS;
+            // The schedule is kept until a new one couldn't begin earlier.
+            let has_schedule = entry.next_start_us > now.0 * 1_000;
+            let is_needed = entry.effective().is_some() || has_schedule;
+            is_known(upstream) && (is_needed || entry.observed_at.is_some_and(is_recent))
         });
         self.upstreams.len() < before
     }
@@ -250,7 +311,13 @@
     pub fn take_counts(&mut self) -> Vec<(Incarnation, RateLimit, PermitCounts)> {
         let take = |(upstream, entry): (&Incarnation, &mut IssuedLimit)| {
             let counts = std::mem::take(&mut entry.counts);
-            Some((upstream.clone(), entry.limit?, counts))
+            // Dozens of upstreams may be cold at once; one that nobody asks for isn't worth a line.
+            let is_used = entry.limit.is_some() || counts != PermitCounts::default();
+            Some((
+                upstream.clone(),
+                entry.effective().filter(|_| is_used)?,
+                counts,
+            ))
         };
         self.upstreams.iter_mut().filter_map(take).collect()
     }
--- a/src/directory/protocol.rs
+++ b/src/directory/protocol.rs
@@ -63,11 +63,24 @@
     pub wait_max_ms: u64,
 }
 
+/// The terms under which permits are issued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitTerms {
+    /// The limit in force: the lowest of those that the leader knows.
+    pub limit: RateLimit,
+    /// Whether the upstream was cold. While it is, hosts use no other permits.
+    pub is_cold: bool,
+    /// How long a permit can be used from its start time on, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
 /// The answer to a [`PermitRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitGrant {
-    /// The limit as the leader knows it.
+    /// The limit that the upstream names, as the leader knows it.
     pub known: LimitReport,
+    /// The terms of the permits; `None` if the leader knows no limit.
+    pub terms: Option<PermitTerms>,
     /// The time until each permit starts, in milliseconds, in ascending order.
     pub starts_in_ms: Vec<u64>,
 }
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -4,6 +4,7 @@
 //! Time, messages, requests and results of calls are inputs; what is to be sent is returned as [`Output`].
 //! The only side effect is on the [`Store`], which is written before anything that depends on it is returned.
 
+mod cold;
 mod leader;
 mod types;
 
@@ -141,8 +142,7 @@
         let heard_ms = self.raft.ms_since_leader_contact(now);
         upstream.phase == Phase::Ready
             && heard_ms.is_some_and(|ms| ms <= 3 * self.timing.heartbeat_ms)
-            && !self.state.would_change(upstream)
-            && self.state.find_live(&upstream.incarnation).is_some()
+            && self.state.is_routine(upstream)
     }
 
     /// Returns the leader's address, if it is known.
@@ -178,7 +178,7 @@
         self.run_until_idle(now)
     }
 
-    fn handle_request(&mut self, request: DirectoryRequest, reply_to: T, now: Mono) {
+    fn handle_request(&mut self, mut request: DirectoryRequest, reply_to: T, now: Mono) {
         let leader = self.leader_address();
         let Some(leader_state) = &mut self.leader_state else {
             self.output
@@ -186,6 +186,7 @@
                 .push((reply_to, Reply::NotLeader(leader)));
             return;
         };
+        leader_state.cold.ignore_late(&mut request, &self.state);
         let mut hold_until = now;
         let mut superseded = None;
         match &request {
@@ -266,6 +267,7 @@
                 return;
             }
             DirectoryRequest::TakePermits { host, requests } => {
+                leader_state.sync_cold_limits(&self.state, now);
                 let events = &mut self.output.events;
                 let reply = leader_state.issue_permits(host, requests, now, events);
                 self.output.replies.push((reply_to, reply));
@@ -465,6 +467,7 @@
             last_heard: ids.map(|id| (id.clone(), elected_at)).collect(),
             membership_planner: MembershipPlanner::new(self.voters),
             permits: PermitIssuer::new(term, elected_at),
+            cold: Default::default(),
             trials: Trials::new(elected_at),
             departure_ages: DepartureAges::default(),
         });
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -223,6 +223,7 @@
             return;
         }
         leader_state.lessor_stepped_at = now;
+        leader_state.sync_cold_limits(&self.state, now);
         let may_call = now < leader_state.lease_until;
         let output = leader_state.lessor.step(&self.state, now, may_call);
         self.output.calls.extend(output.calls);
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -13,6 +13,7 @@
 use super::super::protocol::{DirectoryRequest, Reply};
 use super::super::state::Versions;
 use super::super::trials::Trials;
+use super::cold::ColdTracker;
 
 /// Everything that the caller of [`Replica::advance`](super::Replica::advance) has to send or log.
 #[derive(Debug)]
@@ -124,6 +125,7 @@
     pub(super) last_heard: BTreeMap<String, Mono>,
     pub(super) membership_planner: MembershipPlanner,
     pub(super) permits: PermitIssuer,
+    pub(super) cold: ColdTracker,
     pub(super) trials: Trials,
     pub(super) departure_ages: DepartureAges,
 }
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::coldness;
 use super::departures::Departures;
 use super::model::{Incarnation, Key, KeyRange, KeyTable, Phase, Route, RouteConfig, Upstream};
 use super::protocol::{ConfigUpdate, Update};
@@ -343,7 +344,7 @@
 
     /// Returns the record that registering `upstream` would store, or `None` if a later process with its id
     /// is known or it left before it was known.
-    fn resolve_registration(&self, upstream: &Upstream) -> Option<Upstream> {
+    pub(super) fn resolve_registration(&self, upstream: &Upstream) -> Option<Upstream> {
         let incarnation = &upstream.incarnation;
         let mut next = upstream.clone();
         if let Some(known) = self.upstreams.get(&incarnation.id) {
@@ -352,6 +353,7 @@
             }
             if known.incarnation == *incarnation {
                 next.phase = next.phase.max(known.phase);
+                coldness::resolve(&mut next, known);
             }
         }
         match self.departures.phase_of(incarnation) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -106,6 +106,7 @@
     166 Warning RateLimitMalformed "An upstream named a rate limit that can't be read; the limit before it stays." { upstream: String, value: String, milli_per_s: u64 }
     167 Info RateLimitedTraffic "Requests of this host for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, sent: u64, permits: u64, refused: u64 }
     168 Warning PermitsUnanswered "The directory's leader doesn't answer requests for permits; requests that only upstreams with a rate limit may run are refused." { waited_ms: u64 }
+    169 Info ColdUpstreamsChanged "Upstreams with a limit for cold ones became cold or warm for this host; a few of each are named." { cold: u64, became_cold: u64, became_warm: u64, names: String, warm_names: String }
     170 Warning PeerRefused "A process without a certificate of the deployment was refused." { address: String, reason: String }
     171 Warning PeerUnreachable "A process can't be reached." { host: String, reason: String }
     172 Warning MessageRefused "A message from another process couldn't be read." { reason: String }
@@ -124,6 +125,7 @@
     212 Warning CallsUnlogged "Events about failed calls were omitted to bound the log." { count: u64 }
     213 Info RateLimitReported "An entry host reported that the rate limit of an upstream changed; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, age_ms: u64 }
     214 Info PermitsIssued "Permits for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, issued: u64, refused: u64 }
+    215 Info ColdnessChanged "An upstream with a limit for cold ones became cold or warm, by the registration with this sequence number; 0 means none." { upstream: String, born_ms: u64, is_cold: bool, sequence: u64, milli_per_s: u64 }
     220 Warning RequestFailed "A request ended without a complete answer from an upstream." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
     221 Warning AttemptFailed "An attempt to get an answer from one upstream failed." { request: String, upstream: String, fence: u64, reason: String, sent: bool, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64 }
     222 Warning RequestsUnlogged "Events about requests were omitted to bound the log." { count: u64 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -82,6 +82,8 @@
     pub waiting_for_owner: Gauge,
     /// Upstreams that name a rate limit.
     pub rate_limited_upstreams: Gauge,
+    /// Upstreams that are cold and have a limit for that reason.
+    pub cold_upstreams: Gauge,
     /// Permits for upstreams with a rate limit.
     pub permits: Counter,
     /// Requests that are sent only as trials.
@@ -138,6 +140,7 @@
             in_flight: Gauge::default(),
             waiting_for_owner: Gauge::default(),
             rate_limited_upstreams: Gauge::default(),
+            cold_upstreams: Gauge::default(),
             permits: Counter::default(),
             suspects_on_trial: Gauge::default(),
             suspects_quarantined: Gauge::default(),
@@ -234,6 +237,11 @@
             "Upstreams that name a rate limit",
             self.rate_limited_upstreams.clone(),
         );
+        registry.register(
+            "cold_upstreams",
+            "Upstreams that are cold and have a limit for that reason",
+            self.cold_upstreams.clone(),
+        );
         registry.register(
             "permits",
             "Permits for upstreams with a rate limit",
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -13,6 +13,8 @@
     pub(super) expires_at: Mono,
     /// The limit under which it was issued.
     pub(super) limit: RateLimit,
+    /// Whether it was issued for a cold upstream.
+    pub(super) is_cold: bool,
 }
 
 /// Whether a request could be sent to an upstream as far as its limit is concerned.
--- a/src/gateway/permit_book.rs
+++ b/src/gateway/permit_book.rs
@@ -3,6 +3,10 @@
 //! Under a limit a request needs a permit of the directory's leader. Requests that only a limited upstream
 //! may run wait for one if it starts in time; the others are refused at once, with a `Retry-After` that
 //! spreads them at the rate at which this host gets permits.
+//!
+//! The limit in force is the lowest of the one that the upstream names and the one that it has while it is cold.
+
+mod cold;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -11,7 +15,7 @@
 use crate::clock::Mono;
 use crate::decay::remaining_weight;
 use crate::directory::model::Incarnation;
-use crate::directory::permits::{PERMIT_LIFETIME_MS, RESERVATION_MAX_MS};
+use crate::directory::permits::RESERVATION_MAX_MS;
 use crate::directory::protocol::{LimitReport, PermitGrant, PermitRequest};
 use crate::event::Event;
 use crate::rate_limit::RateLimit;
@@ -27,18 +31,26 @@
 const RETURN_MIN_MS: f64 = 50.0;
 /// Permits that are asked for ahead of requests that other upstreams may run as well.
 const AHEAD_MAX: u32 = 1;
+/// The number of upstreams in a request to the leader from which no permits are asked for ahead: dozens of upstreams
+/// may be cold at once.
+const REQUESTED_AHEAD_MAX: usize = 16;
 
 #[derive(Debug)]
 struct Waiter {
     tx: oneshot::Sender<PermitOutcome>,
     wait_until: Mono,
+    /// The priority of the request's route; 0 is the highest.
+    priority: u32,
 }
 
 /// What this host knows of one upstream's limit.
 #[derive(Debug, Default)]
 struct LimitedUpstream {
+    /// The limit that the upstream names.
     limit: Option<RateLimit>,
-    /// When this host learned of the limit.
+    /// The limit while the upstream is cold.
+    cold: Option<RateLimit>,
+    /// When this host learned of the limit that the upstream names.
     learned_at: Mono,
     /// When some host last read it in a response.
     observed_at: Mono,
@@ -69,7 +81,7 @@
         // In a steady state the decaying count is the rate times the half-life over ln 2.
         let per_s =
             self.granted_until(now) * std::f64::consts::LN_2 / (SHARE_HALF_LIFE_MS / 1_000.0);
-        let milli_per_s = self.limit.map_or(1, RateLimit::milli_per_s);
+        let milli_per_s = self.effective().map_or(1, RateLimit::milli_per_s);
         per_s.max(milli_per_s as f64 / 1_000.0 / f64::from(entry_hosts.max(1)))
     }
 
@@ -93,9 +105,9 @@
     }
 
     fn drop_unusable_permits(&mut self, now: Mono) {
-        let limit = self.limit;
-        self.permits
-            .retain(|p| now < p.expires_at && limit.is_some_and(|l| p.limit <= l));
+        let mut permits = std::mem::take(&mut self.permits);
+        permits.retain(|p| self.is_usable(p, now));
+        self.permits = permits;
     }
 
     /// Takes a permit that has started.
@@ -138,6 +150,8 @@
     upstreams: BTreeMap<Incarnation, LimitedUpstream>,
     /// The number of entry hosts that share the limits.
     entry_hosts: u32,
+    /// When this host may ask the leader again.
+    asks_from: Mono,
     summarized_at: Mono,
 }
 
@@ -152,9 +166,14 @@
         self.entry_hosts = entry_hosts;
     }
 
-    /// Returns the limit of an upstream.
+    /// Sets when this host may ask the leader again.
+    pub fn set_next_request_at(&mut self, at: Mono) {
+        self.asks_from = at;
+    }
+
+    /// Returns the limit of an upstream that is in force.
     pub fn limit(&self, upstream: &Incarnation) -> Option<RateLimit> {
-        self.upstreams.get(upstream)?.limit
+        self.upstreams.get(upstream)?.effective()
     }
 
     /// Records what a response says about the limit, and returns the event to log. `sent_at` is when its
@@ -168,7 +187,12 @@
     ) -> Option<Event> {
         match notice {
             RateLimitNotice::Named(limit) => {
-                self.set_limit(upstream, Some(*limit), now, false, now)
+                // The limit was in force when the request arrived, at the earliest when it was sent. A report of
+                // its end may be newer than that.
+                let known = self.upstreams.get(upstream);
+                let known = known.filter(|k| k.limit == Some(*limit));
+                let observed_at = known.map_or(now, |k| k.observed_at.max(sent_at));
+                self.set_limit(upstream, Some(*limit), observed_at, false, now)
             }
             RateLimitNotice::Absent => {
                 let known = self.upstreams.get(upstream)?;
@@ -234,11 +258,13 @@
             return PermitState::NotNeeded;
         };
         entry.drop_unusable_permits(now);
-        if entry.limit.is_none() {
+        if entry.effective().is_none() {
             PermitState::NotNeeded
         } else if entry.permits.front().is_some_and(|p| p.starts_at <= now) {
             PermitState::Held
-        } else if entry.is_queue_full(self.entry_hosts, now) {
+        } else if entry.is_queue_full(self.entry_hosts, now)
+            || self.asks_from.since(now) > RESERVATION_MAX_MS
+        {
             PermitState::QueueFull
         } else {
             PermitState::Needed
@@ -262,9 +288,9 @@
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return true;
         };
-        if let Some(limit) = entry.limit {
-            let is_usable = |p: &Permit| now < p.expires_at && p.limit <= limit;
-            if !permit.is_some_and(|p| is_usable(&p)) && entry.take_started(now).is_none() {
+        if entry.effective().is_some() {
+            let has_permit = permit.is_some_and(|p| entry.is_usable(&p, now));
+            if !has_permit && entry.take_started(now).is_none() {
                 return false;
             }
         }
@@ -280,25 +306,42 @@
         }
     }
 
-    /// Queues a request that can wait for up to `wait_max_ms`. The error is its `Retry-After` in milliseconds.
+    /// Queues a request of the highest priority that can wait for up to `wait_max_ms`. The error is its
+    /// `Retry-After` in milliseconds.
     pub fn wait(
         &mut self,
         upstream: &Incarnation,
         wait_max_ms: u64,
         random: f64,
         now: Mono,
+    ) -> Result<oneshot::Receiver<PermitOutcome>, u64> {
+        self.wait_with_priority(upstream, 0, wait_max_ms, random, now)
+    }
+
+    /// Queues a request before those of less urgent routes.
+    pub fn wait_with_priority(
+        &mut self,
+        upstream: &Incarnation,
+        priority: u32,
+        wait_max_ms: u64,
+        random: f64,
+        now: Mono,
     ) -> Result<oneshot::Receiver<PermitOutcome>, u64> {
         let known = self.upstreams.get(upstream);
         let is_queue_full = known.is_some_and(|u| u.is_queue_full(self.entry_hosts, now));
-        if wait_max_ms == 0 || is_queue_full {
+        let is_too_late = wait_max_ms == 0 || self.asks_from.since(now) > wait_max_ms;
+        if is_too_late || is_queue_full {
             return Err(self.refuse(upstream, random, now));
         }
         let (tx, rx) = oneshot::channel();
         let entry = self.upstreams.entry(upstream.clone()).or_default();
-        entry.waiters.push_back(Waiter {
+        let waiter = Waiter {
             tx,
             wait_until: now.plus(wait_max_ms),
-        });
+            priority,
+        };
+        let position = entry.waiters.partition_point(|w| w.priority <= priority);
+        entry.waiters.insert(position, waiter);
         Ok(rx)
     }
 
@@ -326,7 +369,8 @@
             entry.waiters_asked = entry.waiters.len();
             let ahead = std::mem::take(&mut entry.ahead);
             let count = entry.waiters_asked as u32 + ahead;
-            if count == 0 && entry.is_reported {
+            let is_optional = entry.waiters_asked == 0 && entry.is_reported;
+            if is_optional && (ahead == 0 || requests.len() >= REQUESTED_AHEAD_MAX) {
                 continue;
             }
             let waits = entry.waiters.iter().map(|w| w.wait_until.since(now));
@@ -369,16 +413,17 @@
                 continue;
             };
             entry.is_reported = entry.is_reported || entry.limit == grant.known.limit;
-            if let Some(limit) = grant.known.limit {
+            if let Some(terms) = grant.terms {
                 entry.record_granted(grant.starts_in_ms.len(), now);
                 // The permits count from before the request, so that a late answer doesn't prolong them.
-                let expires_at = |starts_in_ms| asked_at.plus(starts_in_ms + PERMIT_LIFETIME_MS);
+                let expires_at = |starts_in_ms| asked_at.plus(starts_in_ms + terms.lifetime_ms);
                 entry
                     .permits
                     .extend(grant.starts_in_ms.iter().map(|ms| Permit {
                         starts_at: now.plus(*ms),
                         expires_at: expires_at(*ms),
-                        limit,
+                        limit: terms.limit,
+                        is_cold: terms.is_cold,
                     }));
             }
             // The leader counted the start from when it got the request.
@@ -408,7 +453,7 @@
             let in_time = entry.pop_permit_by(waiter.wait_until.plus(way_ms));
             let outcome = match in_time {
                 Some(permit) => PermitOutcome::Granted(permit),
-                None if entry.limit.is_none() => PermitOutcome::NotNeeded,
+                None if entry.effective().is_none() => PermitOutcome::NotNeeded,
                 None => PermitOutcome::Refused(entry.retry_after_ms(per_s, random(), now)),
             };
             // The request's caller may have left.
@@ -438,10 +483,13 @@
             let sent = std::mem::take(&mut entry.sent);
             let permits = std::mem::take(&mut entry.permits_got);
             let refused = std::mem::take(&mut entry.refused);
+            // Dozens of upstreams may be cold at once; one without traffic isn't worth a line.
+            let is_used = entry.limit.is_some() || sent + permits + refused > 0;
+            let limit = entry.effective().filter(|_| is_used);
             Some(Event::RateLimitedTraffic {
                 upstream: upstream.id.clone(),
                 over_ms,
-                milli_per_s: entry.limit?.milli_per_s(),
+                milli_per_s: limit?.milli_per_s(),
                 sent,
                 permits,
                 refused,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -248,8 +248,9 @@
             let permit = match self.acquire_permit(req, &selected).await {
                 Ok(permit) => permit,
                 Err(retry_after_ms) => {
+                    let reason = self.limit_reason(&selected);
                     tracked.history.not_admitted = Some(selected);
-                    break Failure::refused("upstream at its rate limit", retry_after_ms);
+                    break Failure::refused(reason, retry_after_ms);
                 }
             };
             if !self.may_send(req, &mut clearance, now).await {
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -1,6 +1,7 @@
 //! Enforces the rate limits of upstreams on this entry host: the shared [`PermitBook`] and the task that gets
 //! permits from the directory's leader.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use crate::directory::protocol::{DirectoryRequest, LimitReport, Reply};
 use crate::event::{Event, Recorder};
 use crate::lock::lock;
+use crate::rate_limit::RateLimit;
 use crate::transport::Endpoint;
 use crate::wire::{Request, Response};
 
@@ -25,6 +27,11 @@
 /// Delay before the next request after one that the leader didn't answer.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The reason of a refusal for want of a permit.
+pub const UPSTREAM_AT_RATE_LIMIT: &str = "upstream at its rate limit";
+/// The reason of the same refusal if the upstream is cold.
+pub const UPSTREAM_COLD: &str = "upstream is cold and at its limit";
+
 /// The rate limits of upstreams, and the permits to send them requests.
 #[derive(Debug)]
 pub struct RateLimits {
@@ -89,6 +96,22 @@
         self.record(events);
     }
 
+    /// Sets the limits of all cold upstreams. Called before the registrations that they are from can be used.
+    pub fn set_cold_limits(&self, limits: &BTreeMap<Incarnation, RateLimit>, now: Mono) {
+        self.metrics.cold_upstreams.set(limits.len() as i64);
+        if limits.is_empty() && !self.is_used() {
+            return;
+        }
+        self.is_used.store(true, Ordering::Relaxed);
+        let event = lock(&self.book).set_cold_limits(limits, now);
+        self.record(event);
+    }
+
+    /// Reports whether an upstream is cold and has a limit for that reason.
+    pub fn is_cold(&self, upstream: &Incarnation) -> bool {
+        self.is_used() && lock(&self.book).is_cold(upstream)
+    }
+
     /// Returns whether a request could be sent to an upstream now.
     pub fn permit_state(&self, upstream: &Incarnation, now: Mono) -> PermitState {
         lock(&self.book).permit_state(upstream, now)
@@ -112,11 +135,12 @@
         }
     }
 
-    /// Waits up to `wait_max_ms` for a permit, and for its start. Returns no permit if the upstream has no
-    /// limit; the error is the caller's `Retry-After` in milliseconds.
+    /// Waits up to `wait_max_ms` for a permit, and for its start, ahead of requests with a higher `priority`. Returns
+    /// no permit if the upstream has no limit; the error is the caller's `Retry-After` in milliseconds.
     pub async fn acquire(
         &self,
         upstream: &Incarnation,
+        priority: u32,
         wait_max_ms: u64,
         clock: &Clock,
     ) -> Result<Option<Permit>, u64> {
@@ -132,7 +156,7 @@
             if let Some(permit) = book.take(upstream, now) {
                 return Ok(Some(permit));
             }
-            book.wait(upstream, wait_max_ms, rand::random(), now)?
+            book.wait_with_priority(upstream, priority, wait_max_ms, rand::random(), now)?
         };
         self.has_requests.notify_one();
         match waiting.await {
@@ -202,10 +226,15 @@
             if let Some(Response::Directory(Reply::Permits { grants, pause_ms })) = reply {
                 let permits: usize = grants.iter().map(|g| g.starts_in_ms.len()).sum();
                 self.metrics.permits.inc_by(permits as u64);
-                let events = lock(&self.book).grant(grants, asked_at, rand::random, now);
+                let next_request_at = asked_at.plus(pause_ms);
+                let events = {
+                    let mut book = lock(&self.book);
+                    book.set_next_request_at(next_request_at);
+                    book.grant(grants, asked_at, rand::random, now)
+                };
                 self.record(events);
                 is_answered = true;
-                let pause_ms = asked_at.plus(pause_ms).since(now);
+                let pause_ms = next_request_at.since(now);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             } else {
                 lock(&self.book).refuse_waiters(rand::random, now);
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -16,6 +16,7 @@
 use super::permit::{choose_permitted, Candidate, Permit};
 use super::protocol::Protocol;
 use super::proxy::Proxy;
+use super::rate_limit::{UPSTREAM_AT_RATE_LIMIT, UPSTREAM_COLD};
 use super::traffic_split::Distance;
 use super::upstream_client::UpstreamClient;
 use super::view::DirectoryView;
@@ -174,11 +175,21 @@
             _ => until_objective_ms.min(until_deadline_ms),
         };
         let rate_limits = &self.state.clients.rate_limits;
+        let (upstream, priority) = (&selected.client.incarnation, req.route.priority);
         rate_limits
-            .acquire(&selected.client.incarnation, wait_max_ms, &self.state.clock)
+            .acquire(upstream, priority, wait_max_ms, &self.state.clock)
             .await
     }
 
+    /// Returns why a request got no permit for `selected`.
+    pub(super) fn limit_reason(&self, selected: &Selection) -> &'static str {
+        let rate_limits = &self.state.clients.rate_limits;
+        match rate_limits.is_cold(&selected.client.incarnation) {
+            true => UPSTREAM_COLD,
+            false => UPSTREAM_AT_RATE_LIMIT,
+        }
+    }
+
     /// Returns the cost of sending to an availability zone, in milliseconds of waiting.
     pub(super) fn distance_cost_ms(&self, zone: &str, response_kib: f64) -> f64 {
         match self.distance_to_zone(zone) {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -9,6 +9,7 @@
 };
 use crate::directory::protocol::Update;
 use crate::directory::state::Versions;
+use crate::rate_limit::RateLimit;
 
 use super::upstream_client::UpstreamClient;
 
@@ -145,6 +146,13 @@
         Some((upstream, range.fence))
     }
 
+    /// Returns the limits of all ready upstreams that are cold and have one for that reason.
+    pub fn cold_limits(&self) -> BTreeMap<Incarnation, RateLimit> {
+        let ready = self.ready_by_service.values().flatten();
+        let cold_limit = |u: &Upstream| Some((u.incarnation.clone(), self.config.cold_limit(u)?));
+        ready.filter_map(cold_limit).collect()
+    }
+
     /// Returns the upstream of this process, if it is ready.
     pub fn find_ready(&self, incarnation: &Incarnation) -> Option<&Upstream> {
         let upstream = self.upstreams.get(&incarnation.id)?;
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -26,9 +26,12 @@
     version: String,
     slots: u32,
     state: String,
-    /// How much longer the upstream stays cold.
+    /// How much longer the upstream stays cold. Without it the upstream is warm.
     #[serde(default)]
     cold_remaining: Option<String>,
+    /// Grows with each heartbeat of a process. A heartbeat without it is taken as the newest one.
+    #[serde(default)]
+    sequence: Option<u64>,
     /// Start time of the process, in Unix milliseconds.
     #[serde(default)]
     born: u64,
@@ -97,6 +100,7 @@
         slots: heartbeat.slots,
         phase,
         is_cold: cold_remaining_ms > 0,
+        cold_sequence: heartbeat.sequence,
     })
 }
 
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -44,3 +44,19 @@
         1_000_000_000 / self.milli_per_s
     }
 }
+
+/// Returns the lowest of the limits of one upstream, or `None` if it has none.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::rate_limit::{lowest_limit, RateLimit};
+///
+/// let (low, high) = (RateLimit::from_per_s(3.7), RateLimit::from_per_s(20.0));
+/// assert_eq!(lowest_limit([high, low]), low);
+/// assert_eq!(lowest_limit([None, high]), high);
+/// assert_eq!(lowest_limit([None, None]), None);
+/// ```
+pub fn lowest_limit(limits: impl IntoIterator<Item = Option<RateLimit>>) -> Option<RateLimit> {
+    limits.into_iter().flatten().min()
+}
--- a/tests/limited/mod.rs
+++ b/tests/limited/mod.rs
@@ -1,5 +1,6 @@
 //! Simulates the issuer of permits, the books of entry hosts and one upstream with a rate limit, which owns all
 //! keys or runs requests beside an upstream without a limit. Time is virtual, and all randomness comes from the seed.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 
@@ -72,6 +73,9 @@
     pub is_cut: bool,
     pub is_down: bool,
     pub frozen_until: u64,
+    /// The version of `Simulation::cold` that it knows, and when it hears of the current one.
+    cold_version: u64,
+    cold_update_at: u64,
     /// Present if another upstream may run the requests as well.
     pub estimates: Option<Estimates>,
 }
@@ -92,6 +96,15 @@
     deliveries: BTreeMap<u64, Vec<(usize, Delivery)>>,
     asks: BTreeMap<u64, Vec<(usize, Vec<PermitRequest>, Mono)>>,
     pub retry_after_ms: Vec<u64>,
+    /// The limit of the upstream while it is cold, by the directory's state.
+    cold: Option<f64>,
+    cold_version: u64,
+    /// One in this many requests for permits or answers to them is lost; 0 for none.
+    pub lost_one_in: u32,
+    /// Whether requests take up to `DELAY_MAX_MS` to the upstream.
+    pub has_delays: bool,
+    /// The requests for permits that the leader got.
+    pub asks_served: u64,
 }
 
 impl Simulation {
@@ -113,6 +126,34 @@
             deliveries: BTreeMap::new(),
             asks: BTreeMap::new(),
             retry_after_ms: Vec::new(),
+            cold: None,
+            cold_version: 0,
+            lost_one_in: 0,
+            has_delays: false,
+            asks_served: 0,
+        }
+    }
+
+    /// Makes the upstream cold or warm. Each host hears of it with its next update.
+    pub fn set_cold(&mut self, per_s: Option<f64>) {
+        self.cold = per_s;
+        self.cold_version += 1;
+        for host in &mut self.hosts {
+            host.cold_update_at = self.now + self.rng.random_range(1..UPDATE_INTERVAL_MS);
+        }
+        self.tell_leader();
+    }
+
+    fn cold_limits(&self) -> BTreeMap<Incarnation, RateLimit> {
+        let limit = self.cold.and_then(RateLimit::from_per_s);
+        let limits = limit.map(|limit| (self.upstream.clone(), limit));
+        limits.into_iter().collect()
+    }
+
+    fn tell_leader(&mut self) {
+        let limits = self.cold_limits();
+        if let Some(leader) = &mut self.leader {
+            leader.set_cold_limits(&limits, Mono(self.now));
         }
     }
 
@@ -182,7 +223,13 @@
                 leader.issue(request, now)
             };
             let grants = requests.iter().map(issue).collect();
+            self.asks_served += 1;
             let pause_ms = leader.record_request(&format!("e{n}"), now);
+            let is_lost = self.lost_one_in > 0 && self.rng.random_range(0..self.lost_one_in) == 0;
+            if is_lost {
+                self.schedule(n, ASK_TIMEOUT_MS, Delivery::AskFailed);
+                continue;
+            }
             self.schedule(n, delay, Delivery::Grants(grants, pause_ms, asked_at));
         }
     }
@@ -207,6 +254,7 @@
                 Delivery::Grants(grants, pause_ms, asked_at) => {
                     host.is_asking = false;
                     host.next_ask_at = asked_at.0 + pause_ms;
+                    host.book.set_next_request_at(Mono(host.next_ask_at));
                     let rng = &mut self.rng;
                     host.book.grant(grants, asked_at, || rng.random(), now);
                 }
@@ -230,7 +278,11 @@
     fn send(&mut self, n: usize, permit: Option<Permit>) {
         let now = Mono(self.now);
         if self.hosts[n].book.authorize(&self.upstream, permit, now) {
-            self.arrivals.push((self.now, n));
+            let way_ms = match self.has_delays {
+                true => self.rng.random_range(0..DELAY_MAX_MS),
+                false => 0,
+            };
+            self.arrivals.push((self.now + way_ms, n));
             let response = Delivery::Response(self.named, now);
             let delay = self.rng.random_range(1..RESPONSE_MAX_MS);
             self.schedule(n, delay, response);
@@ -342,10 +394,15 @@
 
     /// Tells a host the leader's limits, as an update does.
     fn update(&mut self, n: usize) {
+        let cold_limits = self.cold_limits();
         let host = &mut self.hosts[n];
         let Some(leader) = self.leader.as_ref().filter(|_| !host.is_cut) else {
             return;
         };
+        if host.cold_version != self.cold_version && self.now >= host.cold_update_at {
+            host.cold_version = self.cold_version;
+            host.book.set_cold_limits(&cold_limits, Mono(self.now));
+        }
         if self.now >= host.update_at && leader.has_news(host.known_limits) {
             host.update_at = self.now + UPDATE_INTERVAL_MS;
             host.known_limits = leader.version();
@@ -361,6 +418,7 @@
     pub fn elect_leader(&mut self) {
         self.term += 1;
         self.leader = Some(PermitIssuer::new(self.term, Mono(self.now)));
+        self.tell_leader();
     }
 
     pub fn arrivals_since(&self, from: u64) -> usize {
@@ -395,6 +453,30 @@
         times.len() as f64 / (limit * (self.now - from) as f64 / 1_000.0)
     }
 
+    /// Checks that no second from `from` on has more requests than an upstream with a limit of `per_s` bears while it
+    /// is cold, by the platform's rules, and returns the largest number.
+    pub fn check_seconds(&self, from: u64, per_s: f64) -> usize {
+        let counted = self.arrivals.iter().map(|a| a.0).filter(|at| *at >= from);
+        let mut times: Vec<u64> = counted.collect();
+        times.sort_unstable();
+        let count_from = |start: u64| {
+            let first = times.partition_point(|at| *at < start);
+            times.partition_point(|at| *at < start + 1_000) - first
+        };
+        let most = times
+            .iter()
+            .map(|start| count_from(*start))
+            .max()
+            .unwrap_or(0);
+        let allowed = 1.5 * per_s + 8.0;
+        assert!(
+            most as f64 <= allowed,
+            "{most} requests in a second with {} hosts and a cold limit of {per_s}; allowed {allowed}",
+            self.hosts.len()
+        );
+        most
+    }
+
     pub fn check_use(&self, from: u64, limit: f64) {
         let share = self.check(from, limit);
         assert!(
--- a/tests/model/upstream.rs
+++ b/tests/model/upstream.rs
@@ -89,6 +89,7 @@
             version: "v1".to_string(),
             slots: 3,
             is_cold: false,
+            cold_sequence: None,
             phase: if upstream.is_draining {
                 Phase::Draining
             } else {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -33,6 +33,7 @@
         slots: 3,
         phase,
         is_cold: false,
+        cold_sequence: None,
     }
 }
 
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -6,7 +6,8 @@
 
 use carobreel::clock::Mono;
 use carobreel::directory::model::Incarnation;
-use carobreel::directory::protocol::{LimitReport, PermitGrant};
+use carobreel::directory::permits::PERMIT_LIFETIME_MS;
+use carobreel::directory::protocol::{LimitReport, PermitGrant, PermitTerms};
 use carobreel::gateway::permit::{choose_permitted, Candidate, PermitOutcome, PermitState};
 use carobreel::gateway::permit_book::PermitBook;
 use carobreel::gateway::protocol::RateLimitNotice;
@@ -229,6 +230,11 @@
             limit,
             age_ms,
         },
+        terms: limit.map(|limit| PermitTerms {
+            limit,
+            is_cold: false,
+            lifetime_ms: PERMIT_LIFETIME_MS,
+        }),
         starts_in_ms,
     };
     let reported = granted(RateLimit::from_per_s(2.0), 0, Vec::new());
--- a/tests/registering.rs
+++ b/tests/registering.rs
@@ -38,6 +38,7 @@
         slots: 3,
         phase: Phase::Ready,
         is_cold: false,
+        cold_sequence: None,
     }
 }
 
--- a/tests/testbed/direct.rs
+++ b/tests/testbed/direct.rs
@@ -58,6 +58,7 @@
             slots: 3,
             phase: Phase::Ready,
             is_cold: false,
+            cold_sequence: None,
         };
         let recorder = Recorder::new("e1", discard_logger());
         let metrics = Arc::new(Metrics::new());
--- a/tests/transfers.rs
+++ b/tests/transfers.rs
@@ -55,6 +55,7 @@
             rates: &rates,
             speeds: &speeds,
             owners,
+            receivers: owners,
             ongoing_moves: &[],
             recent_moves: &[],
         };
