Keep the end of a rate limit when an earlier answer comes after the update

Cause: an answer to a request for permits that the leader had issued before it heard of the end of a limit, and that came after the update about the end, brought the limit back. The host had the newest version then and kept the limit until it asked again.

Change: a host keeps what an update told it since it asked, if that was observed later than what the answer says. The request with a priority has moved to a file of its own.

--- a/src/gateway/permit_book.rs
+++ b/src/gateway/permit_book.rs
@@ -7,6 +7,7 @@
 //! The limit in force is the lowest of the one that the upstream names and the one that it has while it is cold.
 
 mod cold;
+mod queue;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -54,6 +55,8 @@
     learned_at: Mono,
     /// When some host last read it in a response.
     observed_at: Mono,
+    /// When this host last took it from an update of the leader.
+    updated_at: Mono,
     /// Whether the leader knows it.
     is_reported: bool,
     /// The last malformed value, which is logged once.
@@ -187,12 +190,7 @@
     ) -> Option<Event> {
         match notice {
             RateLimitNotice::Named(limit) => {
-                // The limit was in force when the request arrived, at the earliest when it was sent. A report of
-                // its end may be newer than that.
-                let known = self.upstreams.get(upstream);
-                let known = known.filter(|k| k.limit == Some(*limit));
-                let observed_at = known.map_or(now, |k| k.observed_at.max(sent_at));
-                self.set_limit(upstream, Some(*limit), observed_at, false, now)
+                self.set_limit(upstream, Some(*limit), now, false, now)
             }
             RateLimitNotice::Absent => {
                 let known = self.upstreams.get(upstream)?;
@@ -220,8 +218,13 @@
             let observed_at = Mono(now.0.saturating_sub(report.age_ms));
             let known = self.upstreams.get(&report.upstream);
             let is_news = known.map_or(report.limit.is_some(), |k| observed_at > k.observed_at);
-            is_news
-                .then(|| self.set_limit(&report.upstream, report.limit, observed_at, true, now))?
+            if !is_news {
+                return None;
+            }
+            let event = self.set_limit(&report.upstream, report.limit, observed_at, true, now);
+            let entry = self.upstreams.get_mut(&report.upstream)?;
+            entry.updated_at = now;
+            event
         };
         reports.iter().filter_map(learn).collect()
     }
@@ -318,33 +321,6 @@
         self.wait_with_priority(upstream, 0, wait_max_ms, random, now)
     }
 
-    /// Queues a request before those of less urgent routes.
-    pub fn wait_with_priority(
-        &mut self,
-        upstream: &Incarnation,
-        priority: u32,
-        wait_max_ms: u64,
-        random: f64,
-        now: Mono,
-    ) -> Result<oneshot::Receiver<PermitOutcome>, u64> {
-        let known = self.upstreams.get(upstream);
-        let is_queue_full = known.is_some_and(|u| u.is_queue_full(self.entry_hosts, now));
-        let is_too_late = wait_max_ms == 0 || self.asks_from.since(now) > wait_max_ms;
-        if is_too_late || is_queue_full {
-            return Err(self.refuse(upstream, random, now));
-        }
-        let (tx, rx) = oneshot::channel();
-        let entry = self.upstreams.entry(upstream.clone()).or_default();
-        let waiter = Waiter {
-            tx,
-            wait_until: now.plus(wait_max_ms),
-            priority,
-        };
-        let position = entry.waiters.partition_point(|w| w.priority <= priority);
-        entry.waiters.insert(position, waiter);
-        Ok(rx)
-    }
-
     /// Refuses a request and returns its `Retry-After` in milliseconds.
     pub fn refuse(&mut self, upstream: &Incarnation, random: f64, now: Mono) -> u64 {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
@@ -403,9 +379,11 @@
             let Some(known) = self.upstreams.get(&upstream) else {
                 continue;
             };
-            // The leader has weighed what this host knew when it asked; only later responses are news.
-            if known.observed_at < asked_at {
-                let observed_at = Mono(now.0.saturating_sub(grant.known.age_ms));
+            // The leader has weighed what this host knew when it asked. Later responses are news, and so are updates
+            // that overtook the answer.
+            let observed_at = Mono(now.0.saturating_sub(grant.known.age_ms));
+            let is_overtaken = known.updated_at >= asked_at && observed_at < known.observed_at;
+            if known.observed_at < asked_at && !is_overtaken {
                 let limit = grant.known.limit;
                 events.extend(self.set_limit(&upstream, limit, observed_at, true, now));
             }
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -262,6 +262,37 @@
     assert_eq!(waiting.try_recv(), Ok(PermitOutcome::NotNeeded));
 }
 
+/// A host whose answer was issued before the leader heard of the end of a limit, and came after the update about it,
+/// kept the limit until it asked again.
+#[test]
+fn an_answer_that_an_update_has_overtaken_doesn_t_bring_a_limit_back() {
+    let upstream = Incarnation {
+        id: "u1".to_string(),
+        born_ms: 1,
+    };
+    let report = |limit, age_ms| LimitReport {
+        upstream: upstream.clone(),
+        limit,
+        age_ms,
+    };
+    let limit = RateLimit::from_per_s(6.0);
+    let mut book = PermitBook::default();
+    book.learn(&[report(limit, 0)], Mono(1_000));
+    let waiting = book.wait(&upstream, 400, 0.5, Mono(9_000));
+    assert!(waiting.is_ok());
+    book.take_requests(Mono(9_000));
+    // Another host read at 8,900 that the limit has ended.
+    book.learn(&[report(None, 110)], Mono(9_010));
+    assert_eq!(book.limit(&upstream), None);
+    let grant = PermitGrant {
+        known: report(limit, 8_020),
+        terms: None,
+        starts_in_ms: Vec::new(),
+    };
+    book.grant(vec![grant], Mono(9_000), || 0.5, Mono(9_020));
+    assert_eq!(book.limit(&upstream), None);
+}
+
 #[test]
 fn a_malformed_limit_leaves_the_one_before_it() {
     let upstream = Incarnation {
