--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -15,6 +15,7 @@
 use super::super::regions::RegionsByZone;
 use super::super::state::{Command, State, Versions};
 use super::super::trials::Trials;
+use super::cold::ColdTracker;
 
 /// Everything that the caller of [`Replica::advance`](super::Replica::advance) has to send or log.
 #[derive(Debug)]
@@ -146,6 +147,7 @@
     pub(super) last_heard: BTreeMap<String, Mono>,
     pub(super) membership_planner: MembershipPlanner,
     pub(super) permits: PermitIssuer,
+    pub(super) cold: ColdTracker,
     pub(super) trials: Trials,
     pub(super) departure_ages: DepartureAges,
 }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -280,7 +280,10 @@
         }
         let has_new_upstreams = next.versions.upstreams != before.versions.upstreams;
         let has_new_evacuations = next.versions.evacuations != before.versions.evacuations;
-        // Before the view is published: requests that wait for it use the clients at once.
+        // Before the view is published: requests that wait for it use the limits and the clients at once.
+        let cold_limits = next.cold_limits();
+        let rate_limits = &self.clients.rate_limits;
+        rate_limits.set_cold_limits(&cold_limits, self.clock.now());
         if has_new_upstreams || has_new_evacuations {
             self.clients.sync_with_view(&next);
         }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -10,6 +10,7 @@
 use crate::directory::protocol::Update;
 use crate::directory::state::{join_zones, Versions};
 use crate::event::Event;
+use crate::rate_limit::RateLimit;
 
 use super::evacuation::{EvacuatedZones, ReadyIndex};
 use super::upstream_client::UpstreamClient;
@@ -180,6 +181,13 @@
         Some((upstream, range.fence))
     }
 
+    /// Returns the limits of all ready upstreams that are cold and have one for that reason.
+    pub fn cold_limits(&self) -> BTreeMap<Incarnation, RateLimit> {
+        let ready = self.upstreams.values().filter(|u| u.is_ready());
+        let cold_limit = |u: &Upstream| Some((u.incarnation.clone(), self.config.cold_limit(u)?));
+        ready.filter_map(cold_limit).collect()
+    }
+
     /// Returns the upstream of this process, if it is ready.
     pub fn find_ready(&self, incarnation: &Incarnation) -> Option<&Upstream> {
         let upstream = self.upstreams.get(&incarnation.id)?;
