Set the number of streams that a peer may open for each endpoint

Cause: a QUIC connection keeps state for each stream that its peer may open, 4,096 of each kind, on both ends, although only the process that opened a connection opens streams on it. A directory host has connections with hundreds of entry hosts.

Change: none on connections that a process opened itself; an endpoint can set the number for those that it accepts.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -41,7 +41,7 @@
 const SILENCE_MIN: Duration = Duration::from_millis(300);
 /// How often a pending call checks whether anything arrived from the process that it called.
 const RECEIVE_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Streams that one peer may have open at once.
+/// Streams of each kind that one peer may have open at once, unless an endpoint sets another limit.
 const STREAMS_MAX: u32 = 4_096;
 /// Control messages are sent before traffic on the same connection.
 const CONTROL_PRIORITY: i32 = 1;
@@ -135,15 +135,27 @@
         tls: &Tls,
         recorder: Recorder,
     ) -> Result<Endpoint, Report<TransportError>> {
-        let transport = Arc::new(transport_config());
+        Endpoint::bind_with_streams(address, peer_addresses, tls, recorder, STREAMS_MAX)
+    }
+
+    /// Works like [`Endpoint::bind`], with another limit of the streams of each kind that one peer may have open
+    /// at once. A connection takes about 100 bytes of memory for each of them, whether it is open or not.
+    pub fn bind_with_streams(
+        address: SocketAddr,
+        peer_addresses: BTreeMap<String, SocketAddr>,
+        tls: &Tls,
+        recorder: Recorder,
+        streams_max: u32,
+    ) -> Result<Endpoint, Report<TransportError>> {
         let crypto =
             QuicServerConfig::try_from(tls.server.clone()).change_context(TransportError::Tls)?;
         let mut server = quinn::ServerConfig::with_crypto(Arc::new(crypto));
-        server.transport_config(transport.clone());
+        server.transport_config(Arc::new(transport_config(streams_max)));
         let crypto =
             QuicClientConfig::try_from(tls.client.clone()).change_context(TransportError::Tls)?;
         let mut client = quinn::ClientConfig::new(Arc::new(crypto));
-        client.transport_config(transport);
+        // Only the process that opened a connection opens streams on it.
+        client.transport_config(Arc::new(transport_config(0)));
         let socket =
             std::net::UdpSocket::bind(address).change_context(TransportError::Bind(address))?;
         let runtime = quinn::default_runtime().ok_or(TransportError::Bind(address))?;
@@ -469,13 +481,14 @@
     Ok(config)
 }
 
-fn transport_config() -> TransportConfig {
+/// Returns the configuration of connections on which the peer may open `streams_max` streams of each kind.
+fn transport_config(streams_max: u32) -> TransportConfig {
     let mut config = TransportConfig::default();
     config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
     config.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
     config.initial_rtt(INITIAL_RTT);
     config.congestion_controller_factory(Arc::new(LossTolerantFactory));
-    config.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS_MAX));
-    config.max_concurrent_uni_streams(VarInt::from_u32(STREAMS_MAX));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(streams_max));
+    config.max_concurrent_uni_streams(VarInt::from_u32(streams_max));
     config
 }
