Share renewals with other directory hosts, steer heartbeats, pack large updates

Cause: with 2,200 key ranges the leader made some 1,760 grant calls a second itself, received its share of the heartbeats of 3,000 upstreams, and sent each entry host a copy of its own of large updates.

Change: - Directory hosts accept 256 streams of each kind from a peer. - Above 300 grants a second, the leader hands calls out to the other directory hosts, which write them within its lease (docs/design/directory-at-scale.md). - Above 500 upstreams, responses to heartbeats name heartbeatUrl: the leader names a follower that answers, a follower itself. - Updates of 1,024 items and more are encoded and compressed once for all hosts that know the same versions. - A pass of the replica's thread over waiting requests, a step of the lessor and of the moves skip what nothing can have changed.

--- a/src/cmd/directory.rs
+++ b/src/cmd/directory.rs
@@ -65,7 +65,8 @@
         let listener = TcpListener::bind(operators)
             .await
             .map_err(|e| to_error(format!("can't listen on {operators}: {e}")))?;
-        let router = api::router(directory.handle(), recorder.clone());
+        let port = Some(operators.port());
+        let router = api::router_with_port(directory.handle(), recorder.clone(), port);
         let server = tokio::spawn(http_server::serve(listener, router, recorder.clone()));
         while let ServeEvent::SettingsChanged(changed) = context.events.next(&recorder).await {
             *lock(&seeds) = changed.seeds;
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -21,18 +21,20 @@
 use crate::raft::{Log, Message, ReplicaId, Timing};
 use crate::storage::{Storage, StorageError};
 use crate::transport::Endpoint;
-use crate::wire::{Request, Response};
 
-use super::handle::{DaemonInput, Handle, Origin};
+use super::handle::{DaemonInput, Handle};
+use super::helper::RenewalHelper;
 use super::lessor::{Call, CallResult};
 use super::membership::{founder_id, founding_snapshot};
 use super::metrics::{CallLabels, Metrics};
 use super::model::{Incarnation, Phase, Upstream};
 use super::peers::PeerQueues;
 use super::protocol::{DirectoryRequest, Reply};
+use super::renewals::SHARED_ABOVE_PER_S;
 use super::replica::{Input, Output, Replica, StartOptions, LOG_NAME};
 use super::serve::Server;
 use super::stats::LeaderStats;
+use super::steering::HeartbeatHosts;
 
 /// The interval at which the replica is advanced without input.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -51,6 +53,9 @@
 const FORWARD_BATCH_MAX: usize = 128;
 /// The maximum number of inputs processed in one pass, before the time is checked for heartbeats again.
 const INPUTS_PER_PASS_MAX: usize = 256;
+/// The maximum number of streams of each kind that one process may have open to this one: an entry host has a
+/// few, a follower one for each request that it forwards.
+pub const STREAMS_PER_PEER_MAX: u32 = 256;
 /// The timeout of a forwarded request; the leader may wait half a second for entry hosts to get a change.
 pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
 /// The delay before a failed data folder is opened again.
@@ -122,7 +127,11 @@
         let (stop, stopped) = watch::channel(false);
         let (tx, rx) = mpsc::channel(QUEUE_MAX);
         let (ready, started) = std::sync::mpsc::channel();
-        let handle = Handle { tx: tx.clone() };
+        let (heartbeat_hosts_tx, heartbeat_hosts) = watch::channel(HeartbeatHosts::default());
+        let handle = Handle {
+            tx: tx.clone(),
+            heartbeat_hosts,
+        };
         let metrics = Arc::new(Metrics::new());
         let thread_metrics = metrics.clone();
         let run = move || {
@@ -138,8 +147,13 @@
                 }
             };
             runtime.block_on(async move {
-                let bound =
-                    Endpoint::bind(settings.address, BTreeMap::new(), &tls, recorder.clone());
+                let bound = Endpoint::bind_with_streams(
+                    settings.address,
+                    BTreeMap::new(),
+                    &tls,
+                    recorder.clone(),
+                    STREAMS_PER_PEER_MAX,
+                );
                 let endpoint = match bound.change_context(StartError::Network) {
                     Ok(endpoint) => endpoint,
                     Err(e) => {
@@ -149,14 +163,26 @@
                 };
                 let _ = ready.send(Ok(()));
                 let own_address = settings.address.to_string();
+                let (leader_tx, leader_rx) = watch::channel(None);
+                let calls = Arc::new(calls);
+                let helper = RenewalHelper {
+                    own_address: own_address.clone(),
+                    endpoint: endpoint.clone(),
+                    calls: calls.clone(),
+                    clock,
+                    tx: tx.clone(),
+                };
+                tokio::spawn(helper.run(leader_rx));
                 let runner = ReplicaRunner {
+                    other_leader: leader_tx,
+                    heartbeat_hosts: heartbeat_hosts_tx,
                     peers: PeerQueues::new(own_address, endpoint.clone()),
                     settings,
                     endpoint,
                     recorder,
                     clock,
                     tx,
-                    calls: Arc::new(calls),
+                    calls,
                     metrics: thread_metrics,
                     stats: LeaderStats::default(),
                     addresses: BTreeMap::new(),
@@ -210,6 +236,9 @@
     peers: PeerQueues,
     metrics: Arc<Metrics>,
     stats: LeaderStats,
+    /// The leader's address while another host leads.
+    pub(super) other_leader: watch::Sender<Option<String>>,
+    pub(super) heartbeat_hosts: watch::Sender<HeartbeatHosts>,
     /// The sender addresses of replicas, for a new replica that doesn't know the membership yet.
     addresses: BTreeMap<ReplicaId, String>,
     /// Upstreams whose announcements were confirmed here and not yet reported to the leader.
@@ -286,6 +315,7 @@
             },
             hold_ms: self.settings.hold_ms,
             voters: self.settings.voters,
+            shared_above_per_s: SHARED_ABOVE_PER_S,
             is_process_start,
             recovered,
             seed: rand::random(),
@@ -347,6 +377,7 @@
             if now >= report_at {
                 report_at = now.plus(REPORT_INTERVAL_MS);
                 self.report_confirmed(&replica);
+                self.publish_hosts(&replica, now);
             }
             let unlogged = self.stats.take_unlogged(now);
             let summary = self.stats.summary(&mut replica, &self.endpoint, now);
@@ -366,15 +397,6 @@
         }
     }
 
-    /// Opens connections to the other replicas, so that the first votes don't wait for handshakes.
-    fn connect_to_peers(&self, replica: &DiskReplica) {
-        let own_id = replica.raft().id();
-        let replicas = replica.raft().membership().replicas();
-        for (_, host) in replicas.filter(|(id, _)| *id != own_id) {
-            self.endpoint.connect_to_starting_host(host);
-        }
-    }
-
     /// Converts an input for the replica, or returns `None` if it is answered here or by another process.
     fn handle_input(
         &mut self,
@@ -408,57 +430,35 @@
                 Some(Input::Request(request, tx))
             }
             DaemonInput::CallFinished(call, result) => {
-                let labels = CallLabels {
-                    order: call.kind.name(),
-                    result: result.name(),
-                };
-                self.metrics.calls.get_or_create(&labels).inc();
-                if self.stats.count_call_result(&result) {
-                    self.recorder.record(Event::CallFailed {
-                        term: call.id.term,
-                        number: call.id.number,
-                        upstream: call.upstream.clone(),
-                        address: call.address.to_string(),
-                        order: call.kind.name().to_string(),
-                        from: call.from,
-                        to: call.to,
-                        fence: call.fence,
-                        result: result.name().to_string(),
-                    });
-                }
+                self.record_call(&call, &result);
                 Some(Input::CallFinished(call.id, result))
             }
+            DaemonInput::SharedCallFailed(call, result) => {
+                self.record_call(&call, &result);
+                None
+            }
         }
     }
 
-    /// Forwards a request of this process to the leader; tells other processes the leader's address.
-    pub(super) fn forward(
-        &self,
-        replica: &DiskReplica,
-        request: DirectoryRequest,
-        origin: Origin,
-        tx: oneshot::Sender<Reply>,
-    ) {
-        let own_address = self.settings.address.to_string();
-        let leader = replica.leader_address().filter(|host| *host != own_address);
-        let Some(leader) = leader else {
-            let _ = tx.send(Reply::NotLeader(None));
-            return;
+    fn record_call(&mut self, call: &Call, result: &CallResult) {
+        let labels = CallLabels {
+            order: call.kind.name(),
+            result: result.name(),
         };
-        if origin == Origin::Remote {
-            let _ = tx.send(Reply::NotLeader(Some(leader)));
-            return;
+        self.metrics.calls.get_or_create(&labels).inc();
+        if self.stats.count_call_result(result) {
+            self.recorder.record(Event::CallFailed {
+                term: call.id.term,
+                number: call.id.number,
+                upstream: call.upstream.clone(),
+                address: call.address.to_string(),
+                order: call.kind.name().to_string(),
+                from: call.from,
+                to: call.to,
+                fence: call.fence,
+                result: result.name().to_string(),
+            });
         }
-        let endpoint = self.endpoint.clone();
-        tokio::spawn(async move {
-            let request = Request::Directory(request);
-            let reply = match endpoint.call(&leader, request, FORWARD_TIMEOUT).await {
-                Ok(Response::Directory(reply)) => reply,
-                // The sender retries, here or elsewhere; every request may be repeated.
-                Ok(_) | Err(_) => Reply::NotLeader(None),
-            };
-            let _ = tx.send(reply);
-        });
     }
 
     /// Sends the replica's output.
--- a/src/directory/follower.rs
+++ b/src/directory/follower.rs
@@ -4,14 +4,25 @@
 
 use tokio::sync::oneshot;
 
+use crate::clock::Mono;
 use crate::wire::{Request, Response};
 
 use super::daemon::{DiskReplica, GrantTransport, ReplicaRunner, FORWARD_TIMEOUT};
 use super::handle::Origin;
 use super::model::Upstream;
 use super::protocol::{DirectoryRequest, Reply};
+use super::steering::HeartbeatHosts;
 
 impl<C: GrantTransport> ReplicaRunner<C> {
+    /// Opens connections to the other replicas, so that the first votes don't wait for handshakes.
+    pub(super) fn connect_to_peers(&self, replica: &DiskReplica) {
+        let own_id = replica.raft().id();
+        let replicas = replica.raft().membership().replicas();
+        for (_, host) in replicas.filter(|(id, _)| *id != own_id) {
+            self.endpoint.connect_to_starting_host(host);
+        }
+    }
+
     /// Asks the leader to add this replica to the membership, by way of any process that may know the leader.
     pub(super) fn request_join(&self, replica: &DiskReplica) {
         let own_address = self.settings.address.to_string();
@@ -43,6 +54,36 @@
         });
     }
 
+    /// Forwards a request of this process to the leader; tells other processes the leader's address.
+    pub(super) fn forward(
+        &self,
+        replica: &DiskReplica,
+        request: DirectoryRequest,
+        origin: Origin,
+        tx: oneshot::Sender<Reply>,
+    ) {
+        let own_address = self.settings.address.to_string();
+        let leader = replica.leader_address().filter(|host| *host != own_address);
+        let Some(leader) = leader else {
+            let _ = tx.send(Reply::NotLeader(None));
+            return;
+        };
+        if origin == Origin::Remote {
+            let _ = tx.send(Reply::NotLeader(Some(leader)));
+            return;
+        }
+        let endpoint = self.endpoint.clone();
+        tokio::spawn(async move {
+            let request = Request::Directory(request);
+            let reply = match endpoint.call(&leader, request, FORWARD_TIMEOUT).await {
+                Ok(Response::Directory(reply)) => reply,
+                // The sender retries, here or elsewhere; every request may be repeated.
+                Ok(_) | Err(_) => Reply::NotLeader(None),
+            };
+            let _ = tx.send(reply);
+        });
+    }
+
     /// Forwards announcements that can't be confirmed here to the leader in one batch, and answers all of
     /// them with its reply.
     pub(super) fn forward_announcements(&mut self, replica: &DiskReplica) {
@@ -67,6 +108,19 @@
         });
     }
 
+    /// Publishes the leader's address while another host leads, and the hosts that may receive heartbeats.
+    pub(super) fn publish_hosts(&self, replica: &DiskReplica, now: Mono) {
+        let hosts = HeartbeatHosts::of(replica, self.settings.address, now);
+        self.heartbeat_hosts.send_replace(hosts);
+        let leader = replica.leader_address().filter(|_| !replica.leads());
+        let leader = leader.filter(|host| *host != self.settings.address.to_string());
+        self.other_leader.send_if_modified(|known| {
+            let is_new = *known != leader;
+            *known = leader;
+            is_new
+        });
+    }
+
     /// Reports to the leader the upstreams whose announcements were confirmed here.
     pub(super) fn report_confirmed(&mut self, replica: &DiskReplica) {
         let confirmed = std::mem::take(&mut self.confirmed);
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -164,11 +164,15 @@
     elected_at: Mono,
     bounds: BTreeMap<Incarnation, GrantBounds>,
     renewals: BTreeMap<GrantId, Renewal>,
+    /// The version of the owners that `moves` and `bounds` agree with.
+    synced_owners: Option<u64>,
     /// The state from which `renewals` was derived.
     synced_layout: Option<LayoutVersion>,
     /// The number of grants that may be sent now, in thousandths of a grant.
     grant_budget_milli: u64,
     budget_refilled_at: Mono,
+    /// The number of other hosts that make calls for the leader.
+    helpers: usize,
     moves: Vec<Move>,
     pending_calls: BTreeMap<CallId, PendingCall>,
     /// Handover data of released keys, by service, first and last key.
@@ -198,9 +202,11 @@
             elected_at,
             bounds: BTreeMap::new(),
             renewals: BTreeMap::new(),
+            synced_owners: None,
             synced_layout: None,
             grant_budget_milli: 0,
             budget_refilled_at: elected_at,
+            helpers: 0,
             moves: Vec::new(),
             pending_calls: BTreeMap::new(),
             handovers: BTreeMap::new(),
@@ -299,6 +305,10 @@
     }
 
     fn sync_with_table(&mut self, state: &State) {
+        if self.synced_owners == Some(state.versions.owners) {
+            return;
+        }
+        self.synced_owners = Some(state.versions.owners);
         self.moves.retain(|m| {
             let table = state.owners.get(&m.service);
             let range = table.and_then(|t| t.owner_of(m.from));
@@ -333,10 +343,13 @@
 
     /// Assigns keys without an owner to the candidates, once per service.
     fn assign_gaps(&mut self, service: &str, state: &State, now: Mono, output: &mut LessorOutput) {
+        if self.initially_assigned.contains(service) {
+            return;
+        }
         let empty = KeyTable::default();
         let table = state.owners.get(service).unwrap_or(&empty);
         let gaps = table.gaps();
-        if gaps.is_empty() || self.initially_assigned.contains(service) {
+        if gaps.is_empty() {
             return;
         }
         let candidates: Vec<Incarnation> =
--- a/src/directory/lessor/call.rs
+++ b/src/directory/lessor/call.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use super::super::model::Key;
 
 /// Identifies a call among all calls that a process makes. Numbers begin anew with each leadership, while calls
 /// of an earlier one may still be in flight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CallId {
     /// The leader's term.
     pub term: u64,
@@ -15,7 +17,7 @@
 }
 
 /// The kind of a call to an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallKind {
     /// Grants keys or renews their grant.
     Grant {
@@ -41,7 +43,7 @@
 }
 
 /// A call to an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Call {
     /// Identifies the call in its result.
     pub id: CallId,
@@ -64,7 +66,7 @@
 }
 
 /// The result of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallResult {
     /// The call was carried out. Contains the handover data of a release.
     Done(Option<String>),
--- a/src/directory/lessor/grants.rs
+++ b/src/directory/lessor/grants.rs
@@ -106,12 +106,12 @@
         match result {
             CallResult::Done(_) => {
                 bounds.confirmed_until = bounds.confirmed_until.max(until);
-                bounds.heard_at = now;
+                bounds.heard_at = bounds.heard_at.max(now);
                 bounds.unanswered = 0;
                 next_at = now.plus(self.hold_ms / RENEWALS_PER_HOLD);
             }
             CallResult::Fenced => {
-                bounds.heard_at = now;
+                bounds.heard_at = bounds.heard_at.max(now);
                 self.refused_grants.insert(grant_id.clone());
             }
             CallResult::NotSent | CallResult::LeaseEnded => {}
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -3,6 +3,15 @@
 use super::*;
 use crate::rate_limit::RateLimit;
 
+/// The upstreams that ranges may be assigned to in one step, determined when the first range is assigned.
+#[derive(Debug, Default)]
+pub(super) struct Receivers {
+    /// By service.
+    candidates: BTreeMap<String, BTreeSet<Incarnation>>,
+    /// The number of keys of each owner.
+    key_counts: Option<BTreeMap<Incarnation, u32>>,
+}
+
 impl Lessor {
     /// Sets the rate limits of upstreams. Owners are given no more keys than they can serve within them.
     pub fn set_rate_limits(&mut self, limits: BTreeMap<Incarnation, RateLimit>) {
@@ -139,9 +148,9 @@
             return;
         }
         let mut moves = std::mem::take(&mut self.moves);
-        let mut key_counts = self.key_counts(state);
+        let mut receivers = Receivers::default();
         for m in &mut moves {
-            self.advance_move(m, state, now, may_call, &mut key_counts, output);
+            self.advance_move(m, state, now, may_call, &mut receivers, output);
         }
         self.moves = moves;
     }
@@ -152,7 +161,7 @@
         state: &State,
         now: Mono,
         may_call: bool,
-        key_counts: &mut BTreeMap<Incarnation, u32>,
+        receivers: &mut Receivers,
         output: &mut LessorOutput,
     ) {
         let bounds = self.bounds.get(&m.donor).copied().unwrap_or_default();
@@ -199,7 +208,13 @@
         if now < until {
             return;
         }
-        let candidates = self.candidates(&m.service, state, now);
+        let key_counts = receivers
+            .key_counts
+            .get_or_insert_with(|| self.key_counts(state));
+        let candidates = receivers
+            .candidates
+            .entry(m.service.clone())
+            .or_insert_with(|| self.candidates(&m.service, state, now));
         let planned_receiver = m.receiver.clone().filter(|r| candidates.contains(r));
         let least_loaded = || {
             candidates
--- a/src/directory/lessor/renew.rs
+++ b/src/directory/lessor/renew.rs
@@ -4,6 +4,9 @@
 
 /// The maximum number of grants in flight: what a leader can complete before its lease ends.
 const GRANTS_IN_FLIGHT_MAX: usize = 64;
+/// The maximum number of grants in flight at each host that makes calls for the leader. A call is in flight
+/// from its assignment until its result arrives, about twice the interval at which the host asks for calls.
+const GRANTS_IN_FLIGHT_PER_HELPER: usize = 192;
 /// The minimum limit of grants a second. It spreads the grants that are due at once after an election over
 /// the time that renewals take anyway.
 const GRANTS_PER_S: u64 = 400;
@@ -11,24 +14,34 @@
 const GRANTS_SHARE_PERCENT: u64 = 150;
 
 impl Lessor {
+    /// Sets the number of other hosts that make calls for the leader.
+    pub fn set_helpers(&mut self, helpers: usize) {
+        self.helpers = helpers;
+    }
+
+    /// Returns the number of grants a second that all ranges take.
+    pub fn grants_per_s(&self) -> u64 {
+        self.renewals.len() as u64 * 1_000 * RENEWALS_PER_HOLD / self.hold_ms
+    }
+
     /// Sends grants and renewals that are due, the longest overdue first, within the limits of the number in
     /// flight and the rate.
     pub(super) fn renew(&mut self, state: &State, now: Mono, output: &mut LessorOutput) {
         self.sync_renewals(state, now);
         let in_flight = self.grants_in_flight();
-        let needed_per_s = self.renewals.len() as u64 * 1_000 * RENEWALS_PER_HOLD / self.hold_ms;
-        let per_s = GRANTS_PER_S.max(needed_per_s * GRANTS_SHARE_PERCENT / 100);
+        let per_s = GRANTS_PER_S.max(self.grants_per_s() * GRANTS_SHARE_PERCENT / 100);
         let refill = now.since(self.budget_refilled_at) * per_s;
-        let room = GRANTS_IN_FLIGHT_MAX.saturating_sub(in_flight);
+        let in_flight_max = GRANTS_IN_FLIGHT_MAX + self.helpers * GRANTS_IN_FLIGHT_PER_HELPER;
+        let room = in_flight_max.saturating_sub(in_flight);
         self.budget_refilled_at = now;
         self.grant_budget_milli =
             (self.grant_budget_milli + refill).min(GRANTS_IN_FLIGHT_MAX as u64 * 1_000);
         let limit = room.min((self.grant_budget_milli / 1_000) as usize);
         let due = self.renewals.iter().filter(|(_, r)| {
-            let unanswered = self.bounds.get(&r.owner).map_or(0, |b| b.unanswered);
+            let unanswered = || self.bounds.get(&r.owner).map_or(0, |b| b.unanswered);
             !r.in_flight
                 && now >= r.next_at
-                && unanswered < UNANSWERED_MAX
+                && unanswered() < UNANSWERED_MAX
                 && !self.is_silent(&r.owner, now)
                 && state.find_live(&r.owner).is_some()
         });
--- a/src/directory/protocol.rs
+++ b/src/directory/protocol.rs
@@ -8,9 +8,11 @@
 use crate::raft::ReplicaId;
 use crate::rate_limit::RateLimit;
 
+use super::lessor::{Call, CallId, CallResult};
 use super::model::{
     CallerLimits, Incarnation, Key, KeyRange, Route, RouteConfig, Service, Upstream,
 };
+use super::packed::PackedUpdate;
 use super::state::{StoredConfig, Versions};
 use super::suspects::{Acquittal, CrashReport, ListedSuspect, SuspectId};
 
@@ -72,6 +74,17 @@
     pub starts_in_ms: Vec<u64>,
 }
 
+/// The result of a call that a directory host made for the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewalResult {
+    /// The call.
+    pub id: CallId,
+    /// Its result.
+    pub result: CallResult,
+    /// How long ago the call ended when this was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A request to the directory's leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryRequest {
@@ -140,6 +153,15 @@
     ListSuspects,
     /// Drops all suspicions against a request, on behalf of an operator.
     ClearSuspect(SuspectId),
+    /// Asks for calls to upstreams that another directory host makes for the leader.
+    TakeRenewals {
+        /// The address of the directory host.
+        host: String,
+        /// The number of the last batch of calls that it got from this leader; 0 if none.
+        received: u64,
+        /// The results of earlier calls.
+        results: Vec<RenewalResult>,
+    },
 }
 
 /// The difference between a new configuration and an older one.
@@ -255,10 +277,14 @@
 
     /// Returns the approximate cost of sending the update, relative to one without changes.
     pub fn send_cost(&self) -> u64 {
+        1 + self.item_count() as u64 / ITEMS_PER_COST_UNIT
+    }
+
+    /// Returns the number of routes, upstreams, key ranges and suspected requests in the update.
+    pub(super) fn item_count(&self) -> usize {
         let routes = self.config.as_ref().map_or(0, |c| c.routes.len());
         let owners = self.owners.iter().map(|(_, ranges)| ranges.len());
-        let items = routes + self.upstreams.len() + owners.sum::<usize>() + self.suspects.len();
-        1 + items as u64 / ITEMS_PER_COST_UNIT
+        routes + self.upstreams.len() + owners.sum::<usize>() + self.suspects.len()
     }
 }
 
@@ -289,4 +315,22 @@
     NotSuspected,
     /// The requests on trial or in quarantine.
     Suspects(Vec<ListedSuspect>),
+    /// Many changes since the versions that the request named.
+    PackedUpdate {
+        /// The changes.
+        packed: PackedUpdate,
+        /// How long the leader held the request before it created the update, in milliseconds.
+        held_ms: u64,
+    },
+    /// Calls to upstreams.
+    Renewals {
+        /// The calls.
+        calls: Vec<Call>,
+        /// The number of this batch of calls.
+        number: u64,
+        /// How much longer the calls may be written, in milliseconds from the request on.
+        lease_ms: u64,
+        /// The time after which the host asks again, in milliseconds.
+        pause_ms: u64,
+    },
 }
--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -25,6 +25,7 @@
 use super::model::{Phase, Upstream};
 use super::permits::PermitIssuer;
 use super::protocol::{DirectoryRequest, Reply, Update};
+use super::renewals::SharedRenewals;
 use super::state::{Command, State, Versions};
 use super::trials::Trials;
 use types::{Change, LeaderState, PendingAck, PendingRequest, Watcher};
@@ -68,6 +69,7 @@
     timing: Timing,
     hold_ms: u64,
     voters: usize,
+    shared_above_per_s: u64,
     leader_state: Option<LeaderState<T>>,
     output: Output<T>,
 }
@@ -96,6 +98,7 @@
             timing: options.timing,
             hold_ms: options.hold_ms,
             voters: options.voters,
+            shared_above_per_s: options.shared_above_per_s,
             leader_state: None,
             output: Output::default(),
         }
@@ -271,6 +274,15 @@
                 self.output.replies.push((reply_to, reply));
                 return;
             }
+            DirectoryRequest::TakeRenewals {
+                host,
+                received,
+                results,
+            } => {
+                let reply = leader_state.exchange_renewals(host, *received, results, now);
+                self.output.replies.push((reply_to, reply));
+                return;
+            }
             DirectoryRequest::ReportCrashes { .. }
             | DirectoryRequest::BeginTrial { .. }
             | DirectoryRequest::ListSuspects
@@ -324,20 +336,6 @@
         }
     }
 
-    fn propose(&mut self, command: Command, reply_to: T, now: Mono) {
-        let payload = Payload::Command(encode(&command));
-        let term = self.raft.term();
-        match (self.raft.propose(payload, now), &mut self.leader_state) {
-            (Ok(index), Some(leader_state)) => {
-                leader_state.proposals.insert(index, (term, reply_to));
-            }
-            _ => {
-                let reply = Reply::NotLeader(self.leader_address());
-                self.output.replies.push((reply_to, reply));
-            }
-        }
-    }
-
     /// Stores, applies and decides until nothing is left to do, and returns what is to be sent.
     fn run_until_idle(&mut self, now: Mono) -> Result<Output<T>, Report<StorageError>> {
         loop {
@@ -463,9 +461,11 @@
             update_budget_milli: 0,
             budget_refilled_at: elected_at,
             last_heard: ids.map(|id| (id.clone(), elected_at)).collect(),
+            silence_checked_at: elected_at,
             membership_planner: MembershipPlanner::new(self.voters),
             permits: PermitIssuer::new(term, elected_at),
             trials: Trials::new(elected_at),
+            renewals: SharedRenewals::new(self.shared_above_per_s),
             departure_ages: DepartureAges::default(),
         });
     }
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -3,14 +3,24 @@
 use super::*;
 use crate::rate_limit::RateLimit;
 
+use super::super::lessor::{Call, CallResult};
+
 use super::super::model::Incarnation;
+use super::super::packed::PreparedUpdate;
 use super::super::permits::PermitCounts;
-use super::super::protocol::PermitRequest;
+use super::super::protocol::{PermitRequest, RenewalResult};
+use super::super::renewals::HELPER_LEASE_MAX_MS;
 use super::super::suspects::{ready_versions, Stage};
 
+/// The interval at which the leader looks for upstreams that haven't announced themselves for long, in
+/// milliseconds.
+const SILENCE_CHECK_MS: u64 = 1_000;
 /// The maximum number of hosts that an event names.
 const HOSTS_LOGGED_MAX: usize = 8;
 
+/// The versions of the state, the rate limits and the suspected requests that a host has.
+type KnownVersions = (Versions, u64, u64);
+
 impl<T> LeaderState<T> {
     /// Acknowledges a committed change once entry hosts have received it.
     pub(super) fn ack_once_received(&mut self, change: Change, reply_to: T, now: Mono) {
@@ -21,6 +31,36 @@
         });
     }
 
+    /// Returns the update for hosts that know the versions `known`.
+    fn prepare_update(
+        &self,
+        known: KnownVersions,
+        state: &State,
+        raft: &Raft,
+        now: Mono,
+    ) -> PreparedUpdate {
+        let (known_versions, known_limits, known_suspects) = known;
+        let (suspects, suspects_complete) = state.suspects.listed_since(known_suspects);
+        PreparedUpdate::new(Update {
+            replicas: raft.membership().hosts(),
+            entry_hosts: self.watchers.len() as u32,
+            limits_version: self.permits.version(),
+            limits: match self.permits.has_news(known_limits) {
+                true => self.permits.reports(now),
+                false => Vec::new(),
+            },
+            suspects_version: state.suspects.version(),
+            suspects,
+            suspects_complete,
+            ..state.update_since(known_versions)
+        })
+    }
+
+    fn forget_silent_watchers(&mut self, now: Mono) {
+        let is_heard = |w: &Watcher| now.since(w.received_at) < WATCHER_EXPIRY_MS;
+        self.watchers.retain(|_, w| is_heard(w));
+    }
+
     /// Reports whether all entry hosts that watch the directory have received a change, as far as this leader
     /// can tell.
     fn has_reached_watchers(&self, change: Change, now: Mono) -> bool {
@@ -91,9 +131,59 @@
         let pause_ms = self.permits.record_request(host, now);
         Reply::Permits { grants, pause_ms }
     }
+
+    /// Records the results of a directory host's calls and returns its next calls.
+    pub(super) fn exchange_renewals(
+        &mut self,
+        host: &str,
+        received: u64,
+        results: &[RenewalResult],
+        now: Mono,
+    ) -> Reply {
+        for finished in results {
+            // The call ended no later than this, as its age was taken before the request was sent.
+            let finished_at = Mono(now.0.saturating_sub(finished.age_ms));
+            self.renewals
+                .record_result(finished.id, &finished.result, now);
+            let result = finished.result.clone();
+            self.lessor
+                .handle_call_result(finished.id, result, finished_at);
+        }
+        let lease_ms = self.lease_until.since(now).min(HELPER_LEASE_MAX_MS);
+        let batch = self.renewals.take(host, received, lease_ms, now);
+        Reply::Renewals {
+            calls: batch.calls,
+            number: batch.number,
+            lease_ms,
+            pause_ms: batch.pause_ms,
+        }
+    }
+
+    /// Returns the calls that the leader makes itself; the others are assigned to other directory hosts.
+    fn share_calls(&mut self, calls: Vec<Call>, now: Mono) -> Vec<Call> {
+        let per_s = self.lessor.grants_per_s();
+        let mut own = self.renewals.assign(calls, per_s, now);
+        own.extend(self.renewals.take_unfetched(now));
+        self.lessor.set_helpers(self.renewals.helpers(now));
+        own
+    }
 }
 
 impl<S: Store, T> Replica<S, T> {
+    pub(super) fn propose(&mut self, command: Command, reply_to: T, now: Mono) {
+        let payload = Payload::Command(encode(&command));
+        let term = self.raft.term();
+        match (self.raft.propose(payload, now), &mut self.leader_state) {
+            (Ok(index), Some(leader_state)) => {
+                leader_state.proposals.insert(index, (term, reply_to));
+            }
+            _ => {
+                let reply = Reply::NotLeader(self.leader_address());
+                self.output.replies.push((reply_to, reply));
+            }
+        }
+    }
+
     /// Handles a request about suspected requests.
     pub(super) fn handle_suspect_request(
         &mut self,
@@ -224,23 +314,26 @@
         }
         leader_state.lessor_stepped_at = now;
         let may_call = now < leader_state.lease_until;
+        for lost in leader_state.renewals.take_lost(now) {
+            let lessor = &mut leader_state.lessor;
+            lessor.handle_call_result(lost, CallResult::Unknown, now);
+        }
         let output = leader_state.lessor.step(&self.state, now, may_call);
-        self.output.calls.extend(output.calls);
+        let own_calls = leader_state.share_calls(output.calls, now);
+        self.output.calls.extend(own_calls);
         self.output.calls_until = leader_state.lease_until;
         let mut commands = output.commands;
-        let is_expired = |id: &String| {
-            let heard_at = leader_state.last_heard.get(id).copied().unwrap_or(now);
-            now.since(heard_at) > FORGET_AFTER_MS
-        };
-        let expired: Vec<_> = self
-            .state
-            .upstreams
-            .values()
-            .filter(|u| is_expired(&u.incarnation.id))
-            .map(|u| u.incarnation.clone())
-            .collect();
-        if !expired.is_empty() {
-            commands.push(Command::Forget(expired));
+        if now.since(leader_state.silence_checked_at) >= SILENCE_CHECK_MS {
+            leader_state.silence_checked_at = now;
+            let is_expired = |id: &String| {
+                let heard_at = leader_state.last_heard.get(id).copied().unwrap_or(now);
+                now.since(heard_at) > FORGET_AFTER_MS
+            };
+            let upstreams = self.state.upstreams.values().map(|u| &u.incarnation);
+            let expired: Vec<_> = upstreams.filter(|i| is_expired(&i.id)).cloned().collect();
+            if !expired.is_empty() {
+                commands.push(Command::Forget(expired));
+            }
         }
         let expired = leader_state
             .departure_ages
@@ -273,9 +366,9 @@
         let Some(leader_state) = &mut self.leader_state else {
             return;
         };
-        leader_state
-            .watchers
-            .retain(|_, w| now.since(w.received_at) < WATCHER_EXPIRY_MS);
+        if !leader_state.pending_acks.is_empty() {
+            leader_state.forget_silent_watchers(now);
+        }
         for ack in std::mem::take(&mut leader_state.pending_acks) {
             if leader_state.has_reached_watchers(ack.change, now) {
                 self.output.replies.push((ack.reply_to, Reply::Done));
@@ -294,30 +387,44 @@
         leader_state.budget_refilled_at = now;
         // Most watchers have the same versions, so an update is reused for the next one. The request that has
         // waited longest is first.
-        let mut cached_update: Option<((Versions, u64, u64), Update)> = None;
+        let mut prepared_update: Option<(KnownVersions, PreparedUpdate)> = None;
         let state = &self.state;
         let is_known = |upstream: &Incarnation| state.find_live(upstream).is_some();
         if leader_state.permits.forget_ended(is_known, now) {
             let limits = leader_state.permits.limits();
             leader_state.lessor.set_rate_limits(limits);
         }
-        for pending in std::mem::take(&mut leader_state.pending_requests) {
-            let is_due = match &pending.request {
-                DirectoryRequest::Watch {
-                    known_versions,
-                    known_limits,
-                    known_suspects,
-                    ..
-                } => {
-                    let is_ready = *known_versions != self.state.versions
-                        || leader_state.permits.has_news(*known_limits)
-                        || *known_suspects != self.state.suspects.version()
-                        || now >= pending.hold_until;
-                    has_lease && is_ready && leader_state.update_budget_milli >= 1_000
-                }
-                _ => pending.heartbeat_round <= confirmed,
+        let versions = state.versions;
+        let suspects_version = state.suspects.version();
+        let is_due = |pending: &PendingRequest<T>, permits: &PermitIssuer, budget_milli: u64| {
+            let DirectoryRequest::Watch {
+                known_versions,
+                known_limits,
+                known_suspects,
+                ..
+            } = &pending.request
+            else {
+                return pending.heartbeat_round <= confirmed;
             };
-            if !is_due {
+            let is_ready = *known_versions != versions
+                || permits.has_news(*known_limits)
+                || *known_suspects != suspects_version
+                || now >= pending.hold_until;
+            has_lease && is_ready && budget_milli >= 1_000
+        };
+        let budget_milli = leader_state.update_budget_milli;
+        let permits = &leader_state.permits;
+        let mut pending_requests = leader_state.pending_requests.iter();
+        if !pending_requests.any(|p| is_due(p, permits, budget_milli)) {
+            return;
+        }
+        leader_state.forget_silent_watchers(now);
+        for pending in std::mem::take(&mut leader_state.pending_requests) {
+            if !is_due(
+                &pending,
+                &leader_state.permits,
+                leader_state.update_budget_milli,
+            ) {
                 leader_state.pending_requests.push_back(pending);
                 continue;
             }
@@ -328,34 +435,17 @@
                     known_suspects,
                     ..
                 } => {
-                    let permits = &leader_state.permits;
                     let known = (*known_versions, *known_limits, *known_suspects);
-                    let update = match cached_update.take() {
-                        Some((of_known, update)) if of_known == known => update,
-                        _ => {
-                            let (suspects, suspects_complete) =
-                                self.state.suspects.listed_since(*known_suspects);
-                            Update {
-                                replicas: self.raft.membership().hosts(),
-                                entry_hosts: leader_state.watchers.len() as u32,
-                                limits_version: permits.version(),
-                                limits: match permits.has_news(*known_limits) {
-                                    true => permits.reports(now),
-                                    false => Vec::new(),
-                                },
-                                suspects_version: self.state.suspects.version(),
-                                suspects,
-                                suspects_complete,
-                                ..self.state.update_since(*known_versions)
-                            }
-                        }
+                    let prepared = match prepared_update.take() {
+                        Some((of_known, prepared)) if of_known == known => prepared,
+                        _ => leader_state.prepare_update(known, state, &self.raft, now),
                     };
-                    let cost = update.send_cost() * 1_000;
+                    let cost = prepared.send_cost() * 1_000;
                     leader_state.update_budget_milli =
                         leader_state.update_budget_milli.saturating_sub(cost);
-                    cached_update = Some((known, update.clone()));
-                    let held_ms = now.since(pending.received_at);
-                    Reply::Update(Box::new(Update { held_ms, ..update }))
+                    let reply = prepared.reply(now.since(pending.received_at));
+                    prepared_update = Some((known, prepared));
+                    reply
                 }
                 _ => Reply::Config(self.state.config.as_ref().map(|c| c.source.clone())),
             };
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -11,6 +11,7 @@
 use super::super::membership::MembershipPlanner;
 use super::super::permits::PermitIssuer;
 use super::super::protocol::{DirectoryRequest, Reply};
+use super::super::renewals::SharedRenewals;
 use super::super::state::Versions;
 use super::super::trials::Trials;
 
@@ -122,9 +123,11 @@
     pub(super) budget_refilled_at: Mono,
     /// When each upstream last announced itself, by id.
     pub(super) last_heard: BTreeMap<String, Mono>,
+    pub(super) silence_checked_at: Mono,
     pub(super) membership_planner: MembershipPlanner,
     pub(super) permits: PermitIssuer,
     pub(super) trials: Trials,
+    pub(super) renewals: SharedRenewals,
     pub(super) departure_ages: DepartureAges,
 }
 
@@ -137,6 +140,8 @@
     pub hold_ms: u64,
     /// The target number of voters.
     pub voters: usize,
+    /// The number of grants a second above which the leader shares them with other replicas.
+    pub shared_above_per_s: u64,
     /// The contents of the data folder.
     pub recovered: crate::storage::Recovered,
     /// Whether the process was just started, so that no work of an earlier replica in it is in progress.
--- a/src/directory/stats.rs
+++ b/src/directory/stats.rs
@@ -64,8 +64,15 @@
     pub(super) fn count_output<T>(&mut self, output: &Output<T>) {
         self.messages += output.messages.len() as u64;
         self.answers += output.replies.len() as u64;
-        let is_update = |(_, reply): &&(T, Reply)| matches!(reply, Reply::Update(_));
+        let is_update = |(_, reply): &&(T, Reply)| {
+            matches!(reply, Reply::Update(_) | Reply::PackedUpdate { .. })
+        };
         self.updates += output.replies.iter().filter(is_update).count() as u64;
+        for (_, reply) in &output.replies {
+            if let Reply::Renewals { calls, .. } = reply {
+                self.grants += calls.len() as u64;
+            }
+        }
         for call in &output.calls {
             match call.kind {
                 CallKind::Grant { .. } => self.grants += 1,
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -329,6 +329,15 @@
         Ok(Response::Directory(Reply::Update(update))) => {
             FollowOutcome::Update(host, update, asked_at)
         }
+        Ok(Response::Directory(Reply::PackedUpdate { packed, held_ms })) => {
+            match packed.unpack(held_ms) {
+                Some(update) => FollowOutcome::Update(host, Box::new(update), asked_at),
+                None => {
+                    log.record(&host, "the update can't be decoded", asked_at);
+                    FollowOutcome::NoLeader
+                }
+            }
+        }
         Ok(Response::Directory(Reply::NotLeader(Some(leader)))) => {
             FollowOutcome::OtherLeader(leader)
         }
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -1,5 +1,6 @@
 //! The HTTP API for upstreams and operators, served by replicas of the directory.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use axum::body::{Body, Bytes};
@@ -33,6 +34,8 @@
 #[derive(Clone)]
 struct ApiState {
     directory: Handle,
+    /// The port of this API on every directory host, where heartbeats are steered to other hosts.
+    port: Option<u16>,
     recorder: Recorder,
     /// The memory for messages of upstreams that are being received.
     message_memory: Arc<BodyMemory>,
@@ -40,8 +43,14 @@
     config_memory: Arc<BodyMemory>,
 }
 
-/// Returns the router of the API.
+/// Returns the router of the API, which doesn't steer heartbeats.
 pub fn router(directory: Handle, recorder: Recorder) -> Router {
+    router_with_port(directory, recorder, None)
+}
+
+/// Returns the router of the API. With the port that it has on every directory host, responses to heartbeats
+/// may name another host for the next ones.
+pub fn router_with_port(directory: Handle, recorder: Recorder, port: Option<u16>) -> Router {
     Router::new()
         .route("/v1/instances/{id}/heartbeat", post(heartbeat))
         .route("/v1/instances/{id}/deregister", post(deregister))
@@ -49,6 +58,7 @@
         .route("/v1/config/read", get(read_config))
         .with_state(ApiState {
             directory,
+            port,
             recorder,
             message_memory: BodyMemory::with_bytes(MESSAGE_MEMORY_BYTES),
             config_memory: BodyMemory::with_bytes(CONFIG_MEMORY_BYTES),
@@ -74,16 +84,30 @@
         Err(response) => return response,
     };
     match parse_heartbeat(&id, &body) {
-        Ok(upstream) => reply_response(
-            state
-                .directory
-                .ask(DirectoryRequest::Announce(upstream))
-                .await,
-        ),
+        Ok(upstream) => {
+            let request = DirectoryRequest::Announce(upstream);
+            match state.directory.ask(request).await {
+                Reply::Done => heartbeat_response(&state, &id),
+                reply => reply_response(reply),
+            }
+        }
         Err(reason) => bad_request(&reason),
     }
 }
 
+/// Returns the response to an accepted heartbeat.
+fn heartbeat_response(state: &ApiState, id: &str) -> Response {
+    let host = state.directory.heartbeat_host(id);
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let Some((host, port)) = host.zip(state.port).filter(|_| id.bytes().all(is_plain)) else {
+        return reply_response(Reply::Done);
+    };
+    let address = SocketAddr::new(host, port);
+    let url = format!("http://{address}/v1/instances/{id}/heartbeat");
+    let body = serde_json::json!({ "heartbeatUrl": url });
+    json_response(StatusCode::OK, body.to_string().into_bytes())
+}
+
 async fn deregister(State(state): State<ApiState>, Path(id): Path<String>, body: Body) -> Response {
     let (body, _share) = match read_body(&state.message_memory, body, MESSAGE_BYTES_MAX).await {
         Ok(read) => read,
@@ -137,7 +161,9 @@
         | Reply::Permits { .. }
         | Reply::NoTrial { .. }
         | Reply::NotSuspected
-        | Reply::Suspects(_) => unavailable(),
+        | Reply::Suspects(_)
+        | Reply::PackedUpdate { .. }
+        | Reply::Renewals { .. } => unavailable(),
     }
 }
 
--- a/tests/model/event.rs
+++ b/tests/model/event.rs
@@ -47,6 +47,9 @@
     /// An entry host requests changes.
     Watch(usize),
     WatchTimeout(usize, u64),
+    /// A replica asks the leader for calls to make.
+    AskForRenewals(usize, u64),
+    RenewalTimeout(usize, u64),
     /// Checks that an acknowledged configuration is in force at every entry host.
     CheckVersion(u64),
 }
@@ -61,6 +64,8 @@
     Announce(usize, u64),
     /// An entry host and the number of its attempt.
     Watch(usize, u64),
+    /// A replica that asks for calls to make, and the number of its attempt.
+    Renewals(usize, u64),
     Other,
 }
 
--- a/tests/model/faults.rs
+++ b/tests/model/faults.rs
@@ -21,6 +21,7 @@
             self.nodes[n].disk = Disk::default();
         }
         self.runs[n] += 1;
+        self.nodes[n].helper.restart();
         let lost = std::mem::take(&mut self.nodes[n].backlog);
         self.open_calls -= lost
             .iter()
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -8,6 +8,8 @@
 pub mod entry_host;
 pub mod event;
 pub mod faults;
+pub mod helper;
+pub mod queries;
 pub mod requests;
 pub mod traffic;
 pub mod upstream;
@@ -32,6 +34,7 @@
 pub use entry_host::Load;
 pub use event::Faults;
 use event::{Event, Purpose, ScheduledEvent};
+use helper::HelperState;
 use upstream::Upstreams;
 
 /// The service whose keys are divided among upstreams.
@@ -62,6 +65,7 @@
     confirmed: Vec<Incarnation>,
     /// Whether the replica is reopened by a process that kept running.
     is_reopening: bool,
+    helper: HelperState,
 }
 
 impl Node {
@@ -78,6 +82,7 @@
             busy_until_us: 0,
             confirmed: Vec::new(),
             is_reopening: false,
+            helper: HelperState::default(),
         }
     }
 }
@@ -106,6 +111,11 @@
     /// The current and the maximum number of calls to upstreams in flight.
     pub open_calls: usize,
     pub open_calls_max: usize,
+    /// The number of calls that leaders made themselves, and that replicas made for them.
+    pub own_calls: u64,
+    pub shared_calls: u64,
+    /// The number of grants a second above which the leader shares them.
+    shared_above_per_s: u64,
     entry_hosts: Vec<EntryHost>,
     nodes: Vec<Node>,
     queue: BinaryHeap<Reverse<ScheduledEvent>>,
@@ -124,6 +134,17 @@
 
     /// Returns the same with entry hosts that watch the directory.
     pub fn with_load(seed: u64, upstreams: usize, faults: Faults, load: Load) -> Simulation {
+        Simulation::with_sharing(seed, upstreams, faults, load, u64::MAX)
+    }
+
+    /// Returns the same with replicas that make calls for the leader, above this number of grants a second.
+    pub fn with_sharing(
+        seed: u64,
+        upstreams: usize,
+        faults: Faults,
+        load: Load,
+        shared_above_per_s: u64,
+    ) -> Simulation {
         let mut sim = Simulation {
             now: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -141,6 +162,9 @@
             early_acks: Vec::new(),
             open_calls: 0,
             open_calls_max: 0,
+            own_calls: 0,
+            shared_calls: 0,
+            shared_above_per_s,
             entry_hosts: (0..load.entry_hosts)
                 .map(|_| EntryHost::default())
                 .collect(),
@@ -184,25 +208,6 @@
         self.now = end;
     }
 
-    /// Returns the addresses of the voters as known to the leader.
-    pub fn voter_addresses(&self) -> Vec<String> {
-        let leader = self.leader().and_then(|n| self.nodes[n].replica.as_ref());
-        let voters = leader.map(|r| r.raft().membership().voters.values().cloned());
-        voters.map_or(Vec::new(), Iterator::collect)
-    }
-
-    /// Returns the first replica that is sure of its leadership.
-    pub fn leader(&self) -> Option<usize> {
-        let leads = |n: &usize| self.nodes[*n].replica.as_ref().is_some_and(|r| r.leads());
-        (0..self.nodes.len()).find(leads)
-    }
-
-    /// Returns the number of voters as known to the leader.
-    pub fn voters(&self) -> usize {
-        let leader = self.leader().and_then(|n| self.nodes[n].replica.as_ref());
-        leader.map_or(0, |r| r.raft().membership().voters.len())
-    }
-
     /// Sends a configuration with a higher version to one replica.
     pub fn configure(&mut self, n: usize) {
         self.sent_version += self.rng.random_range(1..4);
@@ -277,6 +282,7 @@
             },
             hold_ms: HOLD_MS,
             voters: 3,
+            shared_above_per_s: self.shared_above_per_s,
             is_process_start: !std::mem::take(&mut self.nodes[n].is_reopening),
             recovered,
             seed: self.rng.random(),
@@ -286,6 +292,9 @@
         let phase = self.rng.random_range(0..TICK_INTERVAL_MS);
         self.schedule(phase, Event::Tick(n));
         self.schedule(JOIN_RETRY_MS, Event::Join(n));
+        if self.shared_above_per_s < u64::MAX {
+            self.schedule(JOIN_RETRY_MS, Event::AskForRenewals(n, self.runs[n]));
+        }
     }
 
     fn node_addresses(&self) -> Vec<std::net::SocketAddr> {
@@ -332,7 +341,11 @@
             Event::Request(n, request, request_id) => self.deliver_request(n, request, request_id),
             Event::CallDone(n, run, id, result) => {
                 self.open_calls -= 1;
-                if self.runs[n] == run {
+                let is_shared = self.nodes[n].helper.calls.remove(&id);
+                if self.runs[n] == run && is_shared {
+                    let finished = (id, result, self.now);
+                    self.nodes[n].helper.results.push(finished);
+                } else if self.runs[n] == run {
                     self.step_replica(n, Some(Input::CallFinished(id, result)));
                 }
             }
@@ -345,6 +358,9 @@
             Event::RunBacklog(n) => self.run_backlog(n),
             Event::Watch(n) => self.watch_directory(n),
             Event::WatchTimeout(n, attempt) => self.give_up_watch(n, attempt),
+            Event::AskForRenewals(n, run) if self.runs[n] == run => self.ask_for_renewals(n),
+            Event::AskForRenewals(..) => {}
+            Event::RenewalTimeout(n, attempt) => self.give_up_renewals(n, attempt),
             Event::CheckVersion(version) => self.check_version(version),
         }
     }
@@ -410,6 +426,7 @@
             self.schedule(delay, Event::Deliver(to, messages));
         }
         self.open_calls += output.calls.len();
+        self.own_calls += output.calls.len() as u64;
         self.open_calls_max = self.open_calls_max.max(self.open_calls);
         for call in output.calls {
             let delay = self.rng.random_range(1..60);
@@ -458,6 +475,17 @@
                     upstream.acked_at.get_or_insert(self.now);
                 }
             }
+            (
+                Purpose::Renewals(n, attempt),
+                Reply::Renewals {
+                    calls,
+                    number,
+                    lease_ms,
+                    pause_ms,
+                },
+            ) if self.nodes[n].helper.is_current(attempt) => {
+                self.make_shared_calls(n, (calls, number), lease_ms, pause_ms);
+            }
             (Purpose::Drain(n), Reply::Done) => {
                 let is_first = self.acked_drains.insert(n);
                 self.check_drain(n, is_first);
@@ -465,10 +493,4 @@
             _ => {}
         }
     }
-
-    /// Returns the leader's state.
-    pub fn leader_state(&self) -> Option<&carobreel::directory::state::State> {
-        let n = self.leader()?;
-        Some(self.nodes[n].replica.as_ref()?.state())
-    }
 }
