--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -27,6 +27,7 @@
 use super::permits::PermitIssuer;
 use super::protocol::{DirectoryRequest, Reply, Update};
 use super::regions::RegionsByZone;
+use super::renewals::SharedRenewals;
 use super::state::{Command, State, Versions};
 use super::trials::Trials;
 use types::{Change, LeaderState, PendingAck, PendingRequest, Watcher};
@@ -71,6 +72,7 @@
     hold_ms: u64,
     voters: usize,
     regions_by_zone: RegionsByZone,
+    shared_above_per_s: u64,
     leader_state: Option<LeaderState<T>>,
     output: Output<T>,
 }
@@ -100,6 +102,7 @@
             hold_ms: options.hold_ms,
             voters: options.voters,
             regions_by_zone: options.regions_by_zone,
+            shared_above_per_s: options.shared_above_per_s,
             leader_state: None,
             output: Output::default(),
         }
@@ -276,6 +279,15 @@
                 self.output.replies.push((reply_to, reply));
                 return;
             }
+            DirectoryRequest::TakeRenewals {
+                host,
+                received,
+                results,
+            } => {
+                let reply = leader_state.exchange_renewals(host, *received, results, now);
+                self.output.replies.push((reply_to, reply));
+                return;
+            }
             DirectoryRequest::ReportCrashes { .. }
             | DirectoryRequest::BeginTrial { .. }
             | DirectoryRequest::ListSuspects
@@ -338,20 +350,6 @@
         }
     }
 
-    fn propose(&mut self, command: Command, reply_to: T, now: Mono) {
-        let payload = Payload::Command(encode(&command));
-        let term = self.raft.term();
-        match (self.raft.propose(payload, now), &mut self.leader_state) {
-            (Ok(index), Some(leader_state)) => {
-                leader_state.proposals.insert(index, (term, reply_to));
-            }
-            _ => {
-                let reply = Reply::NotLeader(self.leader_address());
-                self.output.replies.push((reply_to, reply));
-            }
-        }
-    }
-
     /// Stores, applies and decides until nothing is left to do, and returns what is to be sent.
     fn run_until_idle(&mut self, now: Mono) -> Result<Output<T>, Report<StorageError>> {
         loop {
@@ -471,10 +469,12 @@
             update_budget_milli: 0,
             budget_refilled_at: elected_at,
             last_heard: ids.map(|id| (id.clone(), elected_at)).collect(),
+            silence_checked_at: elected_at,
             membership_planner: MembershipPlanner::new(self.voters),
             permits: PermitIssuer::new(term, elected_at),
             cold: Default::default(),
             trials: Trials::new(elected_at),
+            renewals: SharedRenewals::new(self.shared_above_per_s),
             departure_ages: DepartureAges::default(),
         });
     }
--- a/src/directory/replica/types.rs
+++ b/src/directory/replica/types.rs
@@ -13,6 +13,7 @@
 use super::super::permits::PermitIssuer;
 use super::super::protocol::{DirectoryRequest, Reply};
 use super::super::regions::RegionsByZone;
+use super::super::renewals::SharedRenewals;
 use super::super::state::{Command, State, Versions};
 use super::super::trials::Trials;
 use super::cold::ColdTracker;
@@ -145,10 +146,12 @@
     pub(super) budget_refilled_at: Mono,
     /// When each upstream last announced itself, by id.
     pub(super) last_heard: BTreeMap<String, Mono>,
+    pub(super) silence_checked_at: Mono,
     pub(super) membership_planner: MembershipPlanner,
     pub(super) permits: PermitIssuer,
     pub(super) cold: ColdTracker,
     pub(super) trials: Trials,
+    pub(super) renewals: SharedRenewals,
     pub(super) departure_ages: DepartureAges,
 }
 
@@ -161,6 +164,8 @@
     pub hold_ms: u64,
     /// The target number of voters.
     pub voters: usize,
+    /// The number of grants a second above which the leader shares them with other replicas.
+    pub shared_above_per_s: u64,
     /// The contents of the data folder.
     pub recovered: crate::storage::Recovered,
     /// Whether the process was just started, so that no work of an earlier replica in it is in progress.
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -1,6 +1,7 @@
 //! The HTTP API for upstreams and operators, served by replicas of the directory.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use axum::body::{Body, Bytes};
@@ -35,6 +36,8 @@
 #[derive(Clone)]
 pub(super) struct ApiState {
     pub(super) directory: Handle,
+    /// The port of this API on every directory host, where heartbeats are steered to other hosts.
+    port: Option<u16>,
     pub(super) recorder: Recorder,
     /// The availability zones of the settings.
     pub(super) zones: Arc<BTreeSet<String>>,
@@ -44,8 +47,19 @@
     config_memory: Arc<BodyMemory>,
 }
 
-/// Returns the router of the API of a deployment with these availability zones.
+/// Returns the router of the API of a deployment with these availability zones, which doesn't steer heartbeats.
 pub fn router(directory: Handle, recorder: Recorder, zones: BTreeSet<String>) -> Router {
+    router_with_port(directory, recorder, zones, None)
+}
+
+/// Returns the router of the API. With the port that it has on every directory host, responses to heartbeats
+/// may name another host for the next ones.
+pub fn router_with_port(
+    directory: Handle,
+    recorder: Recorder,
+    zones: BTreeSet<String>,
+    port: Option<u16>,
+) -> Router {
     Router::new()
         .route("/v1/instances/{id}/heartbeat", post(heartbeat))
         .route("/v1/instances/{id}/deregister", post(deregister))
@@ -55,6 +69,7 @@
         .route("/v1/evacuate/{zone}/finish", post(evacuation::finish))
         .with_state(ApiState {
             directory,
+            port,
             recorder,
             zones: Arc::new(zones),
             message_memory: BodyMemory::with_bytes(MESSAGE_MEMORY_BYTES),
@@ -81,16 +96,30 @@
         Err(response) => return response,
     };
     match parse_heartbeat(&id, &body) {
-        Ok(upstream) => reply_response(
-            state
-                .directory
-                .ask(DirectoryRequest::Announce(upstream))
-                .await,
-        ),
+        Ok(upstream) => {
+            let request = DirectoryRequest::Announce(upstream);
+            match state.directory.ask(request).await {
+                Reply::Done => heartbeat_response(&state, &id),
+                reply => reply_response(reply),
+            }
+        }
         Err(reason) => bad_request(&reason),
     }
 }
 
+/// Returns the response to an accepted heartbeat.
+fn heartbeat_response(state: &ApiState, id: &str) -> Response {
+    let host = state.directory.heartbeat_host(id);
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let Some((host, port)) = host.zip(state.port).filter(|_| id.bytes().all(is_plain)) else {
+        return reply_response(Reply::Done);
+    };
+    let address = SocketAddr::new(host, port);
+    let url = format!("http://{address}/v1/instances/{id}/heartbeat");
+    let body = serde_json::json!({ "heartbeatUrl": url });
+    json_response(StatusCode::OK, body.to_string().into_bytes())
+}
+
 async fn deregister(State(state): State<ApiState>, Path(id): Path<String>, body: Body) -> Response {
     let (body, _share) = match read_body(&state.message_memory, body, MESSAGE_BYTES_MAX).await {
         Ok(read) => read,
@@ -144,7 +173,9 @@
         | Reply::Permits { .. }
         | Reply::NoTrial { .. }
         | Reply::NotSuspected
-        | Reply::Suspects(_) => unavailable(),
+        | Reply::Suspects(_)
+        | Reply::PackedUpdate { .. }
+        | Reply::Renewals { .. } => unavailable(),
     }
 }
 
