--- a/tests/large_directory.rs
+++ b/tests/large_directory.rs
@@ -90,6 +90,7 @@
         slots: 6,
         phase: Phase::Ready,
         is_cold: false,
+        cold_sequence: None,
     }
 }
 
@@ -115,6 +116,7 @@
             hold_ms: HOLD_MS,
             voters: 1,
             shared_above_per_s: SHARED_ABOVE_PER_S,
+            regions_by_zone: Default::default(),
             is_process_start: true,
             recovered,
             seed: 1,
