--- a/tests/evacuation_log.rs
+++ b/tests/evacuation_log.rs
@@ -393,6 +393,7 @@
         slots: 3,
         phase: Phase::Ready,
         is_cold: false,
+        cold_sequence: None,
     }
 }
 
