Start the tests of evacuations with running processes from a used local upstream

Cause: five of the six tests of running processes failed on the first run. Four waited for requests at the upstream of another zone, which the gateway passes over while the one of its own zone is free. One replaced the client whose withdrawal it checked, by creating a second client under the same id.

Change: the upstream that is evacuated is now the one in the gateway's zone; the second client has another id.

--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -36,17 +36,16 @@
     assert!(took <= CALM_ACK, "acknowledged after {took:?}");
 }
 
-/// Starts a deployment with an upstream of `files` in each of the two zones.
+/// Starts a deployment with an upstream of `files` in each of the two zones: one in zone b and one in zone a.
 async fn start_with_two_zones(network: u8) -> (Testbed, FakeUpstream, FakeUpstream) {
     let testbed = Testbed::start(network).await;
     testbed.configure_until_ready(&document(1)).await;
-    let stays = FakeUpstream::start_in_zone(&testbed, 1, "files", "a").await;
-    let leaves = FakeUpstream::start_in_zone(&testbed, 2, "files", "b").await;
+    let stays = FakeUpstream::start_in_zone(&testbed, 1, "files", "b").await;
+    let leaves = FakeUpstream::start_in_zone(&testbed, 2, "files", "a").await;
     stays.join(&testbed).await;
     leaves.join(&testbed).await;
-    for upstream in [&stays, &leaves] {
-        wait_until_used(&testbed, upstream).await;
-    }
+    // The gateway is in zone a and prefers the upstream there. It knows the other one by then, which joined earlier.
+    wait_until_used(&testbed, &leaves).await;
     (testbed, stays, leaves)
 }
 
@@ -69,7 +68,7 @@
 async fn calls_are_idempotent_and_an_unknown_zone_gets_an_error() {
     let (testbed, _stays, _leaves) = start_with_two_zones(201).await;
     for step in ["begin", "begin", "finish", "finish", "begin", "finish"] {
-        order(&testbed, "b", step).await;
+        order(&testbed, "a", step).await;
     }
     let unknown = HttpRequest::post("/v1/evacuate/nowhere/begin", String::new());
     let answer = testbed.call_directory(unknown).await.unwrap();
@@ -79,11 +78,11 @@
         error["error"].as_str().unwrap().contains("nowhere"),
         "{error}"
     );
-    assert_eq!(call(&testbed, "b", "pause").await, 404);
+    assert_eq!(call(&testbed, "a", "pause").await, 404);
     let events = testbed.events();
     let begun = events
         .iter()
-        .filter(|r| matches!(&r.event, Event::EvacuationBegun { zone, .. } if zone == "b"));
+        .filter(|r| matches!(&r.event, Event::EvacuationBegun { zone, .. } if zone == "a"));
     // Repeated orders change nothing.
     assert_eq!(begun.count(), 2);
     let refused =
@@ -96,10 +95,10 @@
 #[tokio::test]
 async fn upstreams_of_an_evacuated_zone_get_no_requests_until_it_ends() {
     let (mut testbed, stays, leaves) = start_with_two_zones(202).await;
-    order(&testbed, "b", "begin").await;
+    order(&testbed, "a", "begin").await;
     let acked_at = Instant::now();
     let before = leaves.run_count();
-    let late = FakeUpstream::start_in_zone(&testbed, 3, "files", "b").await;
+    let late = FakeUpstream::start_in_zone(&testbed, 3, "files", "a").await;
     late.join(&testbed).await;
     let gateway = testbed.start_another_gateway(1).await;
     testbed.wait_for_gateway(1).await;
@@ -118,7 +117,7 @@
     assert_eq!(leaves.run_count(), before);
     assert_eq!(late.run_count(), 0);
     assert!(stays.run_count() >= served_before + statuses.len());
-    order(&testbed, "b", "finish").await;
+    order(&testbed, "a", "finish").await;
     wait_until_used(&testbed, &leaves).await;
     wait_until_used(&testbed, &late).await;
     drop(gateway);
@@ -245,9 +244,9 @@
     let outcome = sender.send().await;
     assert!(matches!(outcome, AttemptOutcome::NotSent), "{outcome:?}");
     assert_eq!(upstream.run_count(), before);
-    // A request that still has the view before the order creates the client of another process at that time.
+    // A request that still has the view before the order creates the client of another upstream at that time.
     let mut other = sender.upstream.clone();
-    other.incarnation.born_ms += 1;
+    other.incarnation.id = "u9".to_string();
     let client = sender.clients.get(&other, &sender.view);
     assert!(!client.accepts_requests(sender.clock.now()));
     let after = evacuated.updated(evacuate(&[], 3), Mono(2));
@@ -259,7 +258,7 @@
 #[tokio::test]
 async fn a_host_that_loses_the_directory_keeps_obeying() {
     let (mut testbed, stays, leaves) = start_with_two_zones(206).await;
-    order(&testbed, "b", "begin").await;
+    order(&testbed, "a", "begin").await;
     testbed.stop_directory();
     let before = (stays.run_count(), leaves.run_count());
     stays.set_behavior(Behavior::Normal);
