Use the fourth load figure while fresh, and bound what slow readers hold

Cause: the figure of upstreams on their present service time was read and used nowhere. A complete response was passed on as a whole, which returned its memory while the HTTP library held it for a caller that didn't read, and a caller that stopped reading kept its connection, and the upstream's of a streamed response, without limit.

Change: the figure scales the expected response time relative to the mean of the upstream's figures, with a half-life of 150 ms and for 450 ms at most; figures outside 10 to 1,000 are ignored, counted and logged once per process. Bodies are passed on in parts of 16 KiB and take memory until the last part; a caller that accepts nothing for 5 s is disconnected, and a complete body ends 5 s after its request's deadline.

Not bounded: the bytes of bodies that one upstream holds, since its memory for requests isn't known (docs/design/load-figures.md).

--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -169,6 +169,7 @@
         expected_ms,
         way_ms,
         load_age_ms,
+        service_time_percent,
         objective_ms,
         before_ms,
         waited_ms,
@@ -182,10 +183,13 @@
     let load_report = load_age_ms.map_or("no load report".to_string(), |ms| {
         format!("a load report {ms} ms old")
     });
+    let service_time = service_time_percent.map_or(String::new(), |percent| {
+        format!(" (by its own figure its work takes {percent}% of the usual time now)")
+    });
     let elapsed_ms = before_ms + waited_ms;
     format!(
         "The best upstream, {upstream}, was too busy: an answer was expected in {} ms, \
-         based on {load_report}, plus a round trip of {way_ms} ms. Of the route's objective of \
+         based on {load_report}{service_time}, plus a round trip of {way_ms} ms. Of the route's objective of \
          {objective_ms} ms, {} ms were left, and of the caller's timeout {} ms. The request was \
          refused at once so that the caller can retry.",
         expected_ms.unwrap_or(0),
--- a/src/event.rs
+++ b/src/event.rs
@@ -124,7 +124,7 @@
     212 Warning CallsUnlogged "Events about failed calls were omitted to bound the log." { count: u64 }
     213 Info RateLimitReported "An entry host reported that the rate limit of an upstream changed; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, age_ms: u64 }
     214 Info PermitsIssued "Permits for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, issued: u64, refused: u64 }
-    220 Warning RequestFailed "A request ended without a complete answer from an upstream." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
+    220 Warning RequestFailed "A request ended without a complete answer from an upstream." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, service_time_percent: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
     221 Warning AttemptFailed "An attempt to get an answer from one upstream failed." { request: String, upstream: String, fence: u64, reason: String, sent: bool, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64 }
     222 Warning RequestsUnlogged "Events about requests were omitted to bound the log." { count: u64 }
     223 Info SettingsChanged "The settings file changed and was reloaded." { seeds: String }
@@ -151,6 +151,8 @@
     250 Info OwnerRegionsChanged "The regions changed in which the directory's leader chooses owners of a service's keys; without upstreams there, owners may be in any region." { service: String, regions: String, is_restricted: bool, has_upstreams: bool, config: u64 }
     251 Warning RegionsWithoutUpstreams "The set of regions changed that a route allows and in which none of its services has a ready upstream." { count: u64, regions: String, config: u64 }
     252 Warning RoutesUnserved "The set of routes changed that have no ready upstream in their allowed regions; this entry host refuses their requests." { count: u64, routes: String, config: u64 }
+    253 Warning LoadFigureIgnored "An upstream reported a service time in percent of the usual that is out of range; such figures of this process are ignored, and only the first is logged." { upstream: String, percent: u64 }
+    254 Warning ResponsesUnread "Callers' connections were ended since the previous traffic summary because they left a response unread." { count: u64 }
 }
 
 /// An event with its time and host.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -175,6 +175,7 @@
             client
                 .load()
                 .record_report(in_flight_total, load.slots, now);
+            clients.record_service_time(client, load.slowness_percent, now);
         }
         let source = ResponseSource {
             client: client.clone(),
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -6,6 +6,8 @@
 use crate::clock::Mono;
 use crate::decay::{remaining_weight, SampleCount};
 
+use super::service_time::ServiceTime;
+
 /// Half-life of a load report, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 300.0;
 /// Weight of a new sample in the running mean of processing times.
@@ -46,6 +48,8 @@
     reported_at: Mono,
     processing_ms: f64,
     processing_sampled_at: Option<Mono>,
+    /// How long work takes there now, as the upstream says.
+    service_time: ServiceTime,
     /// Mean processing time of all upstreams of the service, in milliseconds.
     service_mean_ms: f64,
     failures: u32,
@@ -67,6 +71,7 @@
             reported_at: Mono(0),
             processing_ms,
             processing_sampled_at: None,
+            service_time: ServiceTime::default(),
             service_mean_ms: processing_ms,
             failures: 0,
             ejected_until: Mono(0),
@@ -102,6 +107,21 @@
         self.reported_at = now;
     }
 
+    /// Records how long work takes there now in percent of the usual, or returns false if the figure is ignored.
+    pub fn record_service_time(&mut self, percent: u32, now: Mono) -> bool {
+        self.service_time.record(percent, now)
+    }
+
+    /// Returns the figure that scales the expected response time, and its age in milliseconds.
+    pub fn service_time_percent(&self, now: Mono) -> Option<(u64, u64)> {
+        self.service_time.fresh_percent(now)
+    }
+
+    /// Returns the processing time expected of a request sent now, in milliseconds.
+    fn expected_processing_ms(&self, now: Mono) -> f64 {
+        self.processing_ms(now) * self.service_time.factor(now)
+    }
+
     /// Records a complete response, adds its processing time to the mean of the service and returns it in
     /// milliseconds. `total` is the number of requests at the upstream when this one was sent, itself included,
     /// as far as this host knew.
@@ -260,7 +280,7 @@
         let queued = (self.estimated_in_flight(now) + 1.0 - slots).max(0.0);
         // Prefers idle upstreams to nearly full ones while neither has a queue.
         let utilization_penalty = 0.1 * (self.estimated_in_flight(now) / slots).min(1.0);
-        self.processing_ms(now) * (1.0 + utilization_penalty + queued / slots)
+        self.expected_processing_ms(now) * (1.0 + utilization_penalty + queued / slots)
     }
 }
 
@@ -352,7 +372,8 @@
     if expected_ms <= limit_ms || (has_free_slot && expected_ms <= limits.deadline_remaining_ms) {
         return Ok(());
     }
-    let retry_after_ms = expected_ms - limit_ms.max(load.processing_ms(now)) + RETRY_MARGIN_MS;
+    let retry_after_ms =
+        expected_ms - limit_ms.max(load.expected_processing_ms(now)) + RETRY_MARGIN_MS;
     Err(retry_after_ms.clamp(RETRY_MARGIN_MS, RETRY_AFTER_MAX_MS) as u64)
 }
 
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -3,11 +3,11 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
@@ -22,11 +22,18 @@
 /// the caller, the request of a truncated response can be retried on another upstream.
 const BUFFERED_MAX_BYTES: usize = 1 << 20;
 
+/// Maximum size of a part of a buffered body that is passed on at once, in bytes. What was passed on waits in the
+/// HTTP library's buffer for the caller to read, where it doesn't count towards the memory for buffered responses.
+const PART_MAX_BYTES: usize = 16 << 10;
+/// Time after its request's deadline for which a complete body is still passed on. A caller that reads slowly would
+/// hold the memory of other responses for an answer without worth.
+const LATE_READ_MAX: Duration = Duration::from_secs(5);
+
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub enum ResponseBody {
-    /// A complete body, with the memory that it takes if it came from an upstream.
-    Complete(Full<Bytes>, Option<BodyShare>),
+    /// A complete body.
+    Complete(CompleteBody),
     /// A body that is still being received from an upstream.
     Streamed(Box<StreamedBody>),
 }
@@ -34,18 +41,66 @@
 impl ResponseBody {
     /// Returns a complete body.
     pub fn complete(bytes: impl Into<Bytes>) -> ResponseBody {
-        ResponseBody::Complete(Full::new(bytes.into()), None)
+        ResponseBody::Complete(CompleteBody {
+            remaining: bytes.into(),
+            memory: None,
+            ends_at: None,
+        })
     }
 
     /// Returns the known lower bound of the length, in bytes.
     pub fn min_bytes(&self) -> u64 {
         match self {
-            ResponseBody::Complete(body, _) => body.size_hint().lower(),
+            ResponseBody::Complete(body) => body.remaining.len() as u64,
             ResponseBody::Streamed(body) => body.size_hint().lower(),
         }
     }
 }
 
+/// A complete body, which is passed on in parts.
+#[derive(Debug)]
+pub struct CompleteBody {
+    remaining: Bytes,
+    /// The memory that the body takes until its last part was passed on, if it came from an upstream.
+    memory: Option<BodyShare>,
+    /// When the rest of the body is dropped.
+    ends_at: Option<Instant>,
+}
+
+impl CompleteBody {
+    /// Returns a body from an upstream that takes `memory`. It is passed on until `LATE_READ_MAX` after the deadline,
+    /// which is in `remaining_time`.
+    pub fn from_upstream(
+        bytes: Bytes,
+        memory: BodyShare,
+        remaining_time: Duration,
+    ) -> CompleteBody {
+        CompleteBody {
+            remaining: bytes,
+            memory: Some(memory),
+            ends_at: Some(Instant::now() + remaining_time + LATE_READ_MAX),
+        }
+    }
+
+    fn next_part(&mut self) -> Option<Result<Frame<Bytes>, TruncatedAnswer>> {
+        if self.remaining.is_empty() {
+            return None;
+        }
+        if self.ends_at.is_some_and(|end| Instant::now() >= end) {
+            return Some(Err(TruncatedAnswer));
+        }
+        let part = take_part(&mut self.remaining);
+        if self.remaining.is_empty() {
+            self.memory = None;
+        }
+        Some(Ok(Frame::data(part)))
+    }
+}
+
+fn take_part(bytes: &mut Bytes) -> Bytes {
+    bytes.split_to(bytes.len().min(PART_MAX_BYTES))
+}
+
 /// The connection that a response is read from, held until the end of the body.
 #[derive(Debug)]
 pub struct ResponseSource {
@@ -75,7 +130,8 @@
 /// A body whose first part is buffered and whose remainder is still being received.
 #[derive(Debug)]
 pub struct StreamedBody {
-    buffered: Option<Bytes>,
+    /// What was received and not passed on yet.
+    buffered: Bytes,
     incoming: Incoming,
     source: Option<ResponseSource>,
     deadline: Pin<Box<Sleep>>,
@@ -102,18 +158,17 @@
         if !has_memory || buffered.len() >= BUFFERED_MAX_BYTES {
             let deadline = Box::pin(tokio::time::sleep(source.remaining));
             return Ok(ResponseBody::Streamed(Box::new(StreamedBody {
-                buffered: Some(buffered.freeze()),
+                buffered: buffered.freeze(),
                 incoming,
                 source: Some(source),
                 deadline,
             })));
         }
     }
+    let remaining_time = source.remaining;
     let memory = source.return_connection();
-    Ok(ResponseBody::Complete(
-        Full::new(buffered.freeze()),
-        Some(memory),
-    ))
+    let body = CompleteBody::from_upstream(buffered.freeze(), memory, remaining_time);
+    Ok(ResponseBody::Complete(body))
 }
 
 impl StreamedBody {
@@ -121,26 +176,42 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
-        if let Some(buffered) = self.buffered.take() {
-            if let Some(source) = &mut self.source {
-                source.memory.clear();
-            }
-            return Poll::Ready(Some(Ok(Frame::data(buffered))));
-        }
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(Err(TruncatedAnswer)));
         }
-        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
-        if let Poll::Ready(None) = polled {
-            if let Some(source) = self.source.take() {
-                source.return_connection();
+        if self.buffered.is_empty() {
+            let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+            match ready!(polled).transpose().map_err(|_| TruncatedAnswer) {
+                Ok(Some(frame)) => match frame.into_data() {
+                    Ok(data) => self.buffer(data),
+                    Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
+                },
+                Ok(None) => {
+                    if let Some(source) = self.source.take() {
+                        source.return_connection();
+                    }
+                    return Poll::Ready(None);
+                }
+                Err(e) => return Poll::Ready(Some(Err(e))),
             }
         }
-        polled.map_err(|_| TruncatedAnswer)
+        let part = take_part(&mut self.buffered);
+        if let Some(source) = self.source.as_mut().filter(|_| self.buffered.is_empty()) {
+            source.memory.clear();
+        }
+        Poll::Ready(Some(Ok(Frame::data(part))))
+    }
+
+    fn buffer(&mut self, data: Bytes) {
+        if let Some(source) = &mut self.source {
+            // It has been received already. Without free memory it goes uncounted, one frame per connection.
+            source.memory.try_grow(data.len());
+        }
+        self.buffered = data;
     }
 
     fn size_hint(&self) -> SizeHint {
-        let buffered = self.buffered.as_ref().map_or(0, |h| h.len() as u64);
+        let buffered = self.buffered.len() as u64;
         let upcoming = self.incoming.size_hint();
         let mut hint = SizeHint::new();
         hint.set_lower(buffered + upcoming.lower());
@@ -160,16 +231,14 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
         match self.get_mut() {
-            ResponseBody::Complete(body, _) => {
-                Pin::new(body).poll_frame(cx).map_err(|e| match e {})
-            }
+            ResponseBody::Complete(body) => Poll::Ready(body.next_part()),
             ResponseBody::Streamed(body) => body.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ResponseBody::Complete(body, _) => body.is_end_stream(),
+            ResponseBody::Complete(body) => body.remaining.is_empty(),
             // The final poll returns the connection to its pool.
             ResponseBody::Streamed(_) => false,
         }
@@ -177,7 +246,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Complete(body, _) => body.size_hint(),
+            ResponseBody::Complete(body) => SizeHint::with_exact(body.remaining.len() as u64),
             ResponseBody::Streamed(body) => body.size_hint(),
         }
     }
--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -106,6 +106,8 @@
     pub(super) round_trip_ms: u64,
     /// Age of the upstream's last load report, in milliseconds.
     pub(super) load_report_age_ms: Option<u64>,
+    /// The upstream's fresh figure on its service time, in percent of the usual.
+    pub(super) service_time_percent: Option<u64>,
 }
 
 /// The attempts made for a request so far.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -41,6 +41,7 @@
 use super::traffic_split::TrafficSplitter;
 use super::upstream_client::UpstreamClients;
 use super::view::DirectoryView;
+use super::write_timeout::WriteTimeoutStream;
 
 /// Delay from the request to stop until responses close their connections.
 const CLOSE_CONNECTIONS_AFTER: Duration = Duration::from_millis(500);
@@ -223,6 +224,11 @@
         })
     }
 
+    /// Returns the metrics in the text format.
+    pub fn metrics_text(&self) -> String {
+        self.proxy.state.tracker.encode_metrics()
+    }
+
     /// Replaces the addresses at which the directory is searched.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *lock(&self.seeds) = seeds;
@@ -318,6 +324,8 @@
     };
     let head_buffer_bytes = (limits.header_bytes_max as usize).max(HEAD_BUFFER_MIN_BYTES);
     let head_timeout = Duration::from_millis(limits.header_timeout_ms);
+    // Below the pacer, so that the time for which a busy link delays a write doesn't count.
+    let stream = WriteTimeoutStream::new(stream, proxy.state.tracker.metrics.clone());
     let (stream, connection_state) =
         HeadTimeoutStream::new(PacedStream::new(stream, link_pacers.clone()), head_timeout);
     let proxy = proxy.clone();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -92,6 +92,10 @@
     pub suspects_refused: Counter,
     /// Suspected requests that an upstream answered.
     pub suspects_acquitted: Counter,
+    /// Callers' connections that were ended because a response stayed unread.
+    pub responses_unread: Counter,
+    /// Load figures of upstreams that were ignored because they are out of range.
+    pub load_figures_ignored: Counter,
     /// Routes and services whose allowed regions have no ready upstream.
     pub routes_unserved: Gauge,
     /// Version of the configuration in force.
@@ -145,6 +149,8 @@
             suspects_quarantined: Gauge::default(),
             suspects_refused: Counter::default(),
             suspects_acquitted: Counter::default(),
+            responses_unread: Counter::default(),
+            load_figures_ignored: Counter::default(),
             routes_unserved: Gauge::default(),
             config_version: Gauge::default(),
             owners_version: Gauge::default(),
@@ -262,6 +268,16 @@
             "Suspected requests that an upstream answered",
             self.suspects_acquitted.clone(),
         );
+        registry.register(
+            "responses_unread",
+            "Callers' connections that were ended because a response stayed unread",
+            self.responses_unread.clone(),
+        );
+        registry.register(
+            "load_figures_ignored",
+            "Load figures of upstreams that were ignored because they are out of range",
+            self.load_figures_ignored.clone(),
+        );
         registry.register(
             "routes_unserved",
             "Routes and services whose allowed regions have no ready upstream",
--- a/src/gateway/request_tracker.rs
+++ b/src/gateway/request_tracker.rs
@@ -1,6 +1,7 @@
 //! Records every request in metrics and log lines, and logs a traffic summary every few seconds.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use hdrhistogram::Histogram;
@@ -104,6 +105,8 @@
     /// The metrics.
     pub metrics: Arc<Metrics>,
     traffic: Mutex<TrafficCounts>,
+    /// The number of unread responses that were logged.
+    unread_logged: AtomicU64,
 }
 
 impl RequestTracker {
@@ -121,6 +124,7 @@
             recorder,
             metrics,
             traffic: Mutex::new(TrafficCounts::new(clock.now())),
+            unread_logged: AtomicU64::new(0),
         }
     }
 
@@ -182,6 +186,11 @@
         metrics.config_version.set(versions.config as i64);
         metrics.owners_version.set(versions.owners as i64);
         metrics.view_age_ms.set(versions.age_ms as i64);
+        let unread = metrics.responses_unread.get();
+        let count = unread - self.unread_logged.swap(unread, Ordering::Relaxed);
+        if count > 0 {
+            self.recorder.record(Event::ResponsesUnread { count });
+        }
         let traffic = std::mem::replace(&mut *lock(&self.traffic), TrafficCounts::new(now));
         let kib = |distance| {
             traffic
@@ -422,6 +431,7 @@
                 expected_ms: not_admitted.map(|c| c.expected_ms),
                 way_ms: not_admitted.map_or(0, |c| c.round_trip_ms),
                 load_age_ms: not_admitted.and_then(|c| c.load_report_age_ms),
+                service_time_percent: not_admitted.and_then(|c| c.service_time_percent),
                 owner_wait_ms: self.history.owner_wait_ms,
                 waited_ms,
                 config: versions.config,
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -255,9 +255,11 @@
         fence: u64,
         now: Mono,
     ) -> Selection {
-        let (expected_ms, load_report_age_ms) = {
+        let (expected_ms, load_report_age_ms, service_time_percent) = {
             let load = client.load();
-            (load.expected_ms(now) as u64, load.report_age_ms(now))
+            let percent = load.service_time_percent(now).map(|(percent, _)| percent);
+            let expected_ms = load.expected_ms(now) as u64;
+            (expected_ms, load.report_age_ms(now), percent)
         };
         let distance = self.distance_to_zone(&client.zone);
         Selection {
@@ -270,6 +272,7 @@
             fence,
             expected_ms,
             load_report_age_ms,
+            service_time_percent,
         }
     }
 
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -46,6 +46,8 @@
     is_withdrawn: AtomicBool,
     /// When the latest of the requests that it answered was sent, as a [`Mono`].
     answered_request_at: AtomicU64,
+    /// Whether a figure of this process that was ignored has been logged.
+    has_logged_figure: AtomicBool,
 }
 
 /// Processing times that weren't reported to the directory yet.
@@ -272,6 +274,7 @@
             unreported_processing: Mutex::default(),
             is_withdrawn: AtomicBool::new(false),
             answered_request_at: AtomicU64::new(0),
+            has_logged_figure: AtomicBool::new(false),
         });
         by_id.insert(id.clone(), client.clone());
         client
@@ -336,6 +339,21 @@
         }
     }
 
+    /// Records the figure of an upstream on how long work takes there now.
+    pub fn record_service_time(&self, client: &UpstreamClient, percent: Option<u32>, now: Mono) {
+        let Some(percent) = percent else { return };
+        if client.load().record_service_time(percent, now) {
+            return;
+        }
+        self.metrics.load_figures_ignored.inc();
+        if !client.has_logged_figure.swap(true, Ordering::Relaxed) {
+            self.recorder.record(Event::LoadFigureIgnored {
+                upstream: client.incarnation.id.clone(),
+                percent: u64::from(percent),
+            });
+        }
+    }
+
     /// Returns the upstreams that announced in a response that they leave, since the last call.
     pub fn take_leaving(&self) -> Vec<Incarnation> {
         std::mem::take(&mut lock(&self.unreported_leaving))
--- a/tests/testbed/upstream.rs
+++ b/tests/testbed/upstream.rs
@@ -55,6 +55,8 @@
     AnnouncesLeaving,
     /// Refuses with proof that the request didn't run, and with this `Retry-After`.
     AsksForBackoff(&'static str),
+    /// Responds after `WORK` and reports this load.
+    ReportsLoad(&'static str),
     /// Names this rate limit in its responses.
     NamesRateLimit(&'static str),
     /// Refuses the first request on each connection. Writes that refusal once more, with or without its id, in front of
@@ -433,6 +435,11 @@
                 let leaving = format!("{stamp}server-leaving: 1\r\n");
                 (format_response(200, &leaving, &body), true)
             }
+            Behavior::ReportsLoad(load) => {
+                tokio::time::sleep(WORK).await;
+                let reported = stamp.replace("load: 1,0,3", &format!("load: {load}"));
+                (format_response(200, &reported, &body), true)
+            }
             Behavior::NamesRateLimit(per_s) => {
                 let limited = format!("{stamp}server-limit: {per_s}\r\n");
                 (format_response(200, &limited, &body), true)
