--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -98,6 +98,10 @@
     pub evacuated_zones: Gauge,
     /// Ready upstreams in evacuated zones.
     pub evacuated_upstreams: Gauge,
+    /// Callers' connections that were ended because a response stayed unread.
+    pub responses_unread: Counter,
+    /// Load figures of upstreams that were ignored because they are out of range.
+    pub load_figures_ignored: Counter,
     /// Routes and services whose allowed regions have no ready upstream.
     pub routes_unserved: Gauge,
     /// Version of the configuration in force.
@@ -154,6 +158,8 @@
             suspects_acquitted: Counter::default(),
             evacuated_zones: Gauge::default(),
             evacuated_upstreams: Gauge::default(),
+            responses_unread: Counter::default(),
+            load_figures_ignored: Counter::default(),
             routes_unserved: Gauge::default(),
             config_version: Gauge::default(),
             owners_version: Gauge::default(),
@@ -286,6 +292,16 @@
             "Ready upstreams in evacuated availability zones",
             self.evacuated_upstreams.clone(),
         );
+        registry.register(
+            "responses_unread",
+            "Callers' connections that were ended because a response stayed unread",
+            self.responses_unread.clone(),
+        );
+        registry.register(
+            "load_figures_ignored",
+            "Load figures of upstreams that were ignored because they are out of range",
+            self.load_figures_ignored.clone(),
+        );
         registry.register(
             "routes_unserved",
             "Routes and services whose allowed regions have no ready upstream",
