--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -14,6 +14,7 @@
 use crate::cell::state::UpstreamId;
 use crate::clock::{Clock, Mono};
 use crate::event::{Event, Recorder};
+use crate::http::is_final_status;
 use crate::metrics::Metrics;
 use crate::settings::Deployment;
 use crate::slot::{home_region, KeyHash};
@@ -428,6 +429,10 @@
             }
         };
         match answered {
+            Ok(response) if !is_final_status(response.status()) => {
+                upstream.record_failure("invalid status", self.clock.now());
+                AttemptResult::MaybeSent(UnknownReason::Broken)
+            }
             Ok(response) => self.accept_answer(response, dispatch, connection, sent_at),
             Err(mut e) => {
                 if e.take_message().is_some() {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use crate::directory::model::RepeatPolicy;
 use crate::entry::pool::ConnectionReuse;
 use crate::entry::request::strip_hop_by_hop;
+use crate::http::is_final_status;
 
 use super::body::{self, ResponseBody, ResponseSource};
 use super::permit::Permit;
@@ -156,6 +157,10 @@
                 }
             }
         };
+        // The connection, on which the upstream doesn't follow the protocol, is closed.
+        if !is_final_status(response.status()) {
+            return AttemptOutcome::Failed("invalid status", Execution::MayHaveRun);
+        }
         let metadata = protocol.read_response(response.headers());
         let has_own_id = self.id.is_none() || metadata.id == self.id;
         if metadata.id.is_some() && !has_own_id {
--- a/src/http.rs
+++ b/src/http.rs
@@ -206,6 +206,9 @@
             .await
             .change_context(HttpError::ConnectionLost)?;
         let (head, body) = response.into_parts();
+        if !is_final_status(head.status) {
+            return Err(Report::new(HttpError::ConnectionLost));
+        }
         let body = match Limited::new(body, self.answer_bytes_max).collect().await {
             Ok(body) => body,
             Err(e) if e.is::<LengthLimitError>() => return Err(Report::new(HttpError::TooLarge)),
@@ -220,6 +223,12 @@
     }
 }
 
+/// Reports whether a status can belong to a final response. The HTTP library accepts all numbers from 100 to 999,
+/// skips interim responses and returns 101, which no request asks for.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 async fn connect(
     address: SocketAddr,
     reset_on_close: bool,
--- a/tests/faulty_answers.rs
+++ b/tests/faulty_answers.rs
@@ -104,3 +104,84 @@
         }
     }
 }
+
+/// Sends a request that is answered with this status line, and returns the outcome. The request before it is
+/// answered properly, so that the answer comes on a kept connection.
+async fn outcome_of_status_line(
+    sender: &DirectSender,
+    upstream: &FakeUpstream,
+    line: &str,
+) -> AttemptOutcome {
+    upstream.set_behavior(Behavior::Normal);
+    let answered = sender.send_with_id(Some("proper"), false).await;
+    assert_matches!(answered, AttemptOutcome::Response(_));
+    let answer = format!(
+        "HTTP/1.1{line}\r\ncarobreel-request-id: odd\r\n\
+         carobreel-server-stamp: u1.1\r\ncontent-length: 2\r\n\r\nno"
+    );
+    upstream.set_raw_response(answer.into_bytes());
+    let runs = upstream.run_count();
+    let outcome = sender.send_with_id(Some("odd"), false).await;
+    assert_eq!(upstream.run_count(), runs + 1, "the upstream ran it");
+    outcome
+}
+
+/// Guards against a caller getting a status that no HTTP answer may have.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_outside_200_to_599_is_no_answer() {
+    let testbed = Testbed::start(179).await;
+    let upstream = FakeUpstream::start(&testbed, 1, "files").await;
+    let sender = DirectSender::new(&upstream);
+    let invalid = [
+        " 000 Odd",
+        " 001 Odd",
+        " 099 Odd",
+        " 101 Odd",
+        " 600 Odd",
+        " 999 Odd",
+        " 20 Odd",
+        " 2000 Odd",
+        " +20 Odd",
+        " -20 Odd",
+        " 0x2 Odd",
+        " 2 0 Odd",
+        "  200 Odd",
+        "",
+        " ",
+        " OK",
+    ];
+    for line in invalid {
+        let outcome = outcome_of_status_line(&sender, &upstream, line).await;
+        assert_matches!(
+            outcome,
+            AttemptOutcome::Broken(_) | AttemptOutcome::Failed(_, Execution::MayHaveRun),
+            "{line:?}"
+        );
+    }
+    for line in [" 200 OK", " 404 Not Found", " 599 Odd"] {
+        let outcome = outcome_of_status_line(&sender, &upstream, line).await;
+        assert_matches!(
+            outcome,
+            AttemptOutcome::Response(_) | AttemptOutcome::ErrorResponse(_),
+            "{line:?}"
+        );
+    }
+}
+
+/// Guards against a caller getting an invalid status, and against a connection being used again after one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_gets_502_for_an_invalid_status_and_the_connection_is_closed() {
+    let (testbed, upstream) = Testbed::start_with_upstream(180).await;
+    for status in ["000", "101", "600", "999"] {
+        let answer = format!(
+            "HTTP/1.1 {status} Odd\r\ncarobreel-request-id: odd{status}\r\n\
+             carobreel-server-stamp: u1.1\r\ncontent-length: 2\r\n\r\nno"
+        );
+        upstream.set_raw_response(answer.into_bytes());
+        let id = format!("odd{status}");
+        let answer = testbed.request(post("/file/x", &id, 900)).await.unwrap();
+        assert_eq!(answer.status.as_u16(), 502, "for {status}");
+        upstream.set_behavior(Behavior::Normal);
+        testbed.wait_until_served().await;
+    }
+}
