Don't eject an upstream that is full, nor ask it twice

Cause: resets, silence and refusals of an upstream without free capacity counted as failures, and two in a row ejected it. Of a key's owner there is no other, so that all its keys were refused, and an idempotent request went to the same owner again 10 ms later.

Change: a request that got no answer, broke or was refused without proof is judged by load reports from that time and by this host's rate of requests, extrapolated to all entry hosts. After such an attempt a request goes to another owner only. An owner that broke a request while slots were free is sent it once more, as before. A request whose connection closed before it was sent is sent again to the same owner. A request that may have run and whose caller may repeat it gets its 502 with a Retry-After. Times of requests that a full upstream left unserved don't count as its speed. 421 has a reason of its own in logs, "upstream doesn't own the key".

--- a/src/diagnosis.rs
+++ b/src/diagnosis.rs
@@ -271,6 +271,7 @@
         | Event::SettingsRefused { .. }
         | Event::RequestsUnlogged { .. } => is_same_host,
         Event::UpstreamEjected { upstream, .. }
+        | Event::UpstreamFull { upstream, .. }
         | Event::UpstreamReadmitted { upstream }
         | Event::UpstreamEnded { upstream, .. }
         | Event::BreakNotACrash { upstream, .. } => {
--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -1,6 +1,7 @@
 //! Determines why a request ended as it did.
 
 use crate::event::{Event, EventRecord};
+use crate::gateway::selection::OWNER_FULL;
 use crate::gateway::suspects::{UPSTREAMS_ENDED, UPSTREAMS_ENDED_ON_TRIAL};
 
 use super::{assigned_owner, RequestEnd};
@@ -54,6 +55,7 @@
             let text = match reason.as_str() {
                 "no room in time" => explain_no_room(final_event),
                 "key has no owner in reach" => explain_no_owner(related, end),
+                OWNER_FULL => explain_owner_full(events, end),
                 "no upstream" => explain_no_upstream(events, end),
                 "out of time" => explain_out_of_time(request_events, related),
                 "upstream at its rate limit" => explain_rate_limit(final_event, events, end),
@@ -241,6 +243,28 @@
     text
 }
 
+fn explain_owner_full(events: &[EventRecord], end: &RequestEnd<'_>) -> String {
+    let is_earlier = |s: &&EventRecord| s.time.wall_ms <= end.time_ms && s.host == end.host;
+    let mut on_host = events.iter().rev().filter(is_earlier);
+    let found = on_host.find_map(|record| match &record.event {
+        Event::UpstreamFull {
+            upstream, evidence, ..
+        } if end.upstreams.contains(upstream.as_str()) => Some(format!(
+            " This host last found {upstream} full {} ms before (by {evidence}).",
+            end.time_ms.saturating_sub(record.time.wall_ms)
+        )),
+        _ => None,
+    });
+    let key = end
+        .key
+        .map_or(String::new(), |key| format!(" of key {key}"));
+    format!(
+        "The owner{key} had no free capacity, and no other upstream may serve the key. The request \
+         wasn't sent; the caller was told when the directory may have spread the keys.{}",
+        found.unwrap_or_default()
+    )
+}
+
 fn explain_no_upstream(events: &[EventRecord], end: &RequestEnd<'_>) -> String {
     let is_recent =
         |s: &&EventRecord| s.time.wall_ms <= end.time_ms && s.time.wall_ms + 4_000 >= end.time_ms;
--- a/src/diagnosis/describe.rs
+++ b/src/diagnosis/describe.rs
@@ -53,6 +53,11 @@
         Event::UpstreamEjected { upstream, reason } => {
             format!("ejects upstream {upstream} for a while: {reason}")
         }
+        Event::UpstreamFull {
+            upstream,
+            evidence,
+            hold_ms,
+        } => format!("finds upstream {upstream} full (by {evidence}); holds back for {hold_ms} ms"),
         Event::UpstreamReadmitted { upstream } => format!("readmits upstream {upstream}"),
         Event::RequestsUnlogged { count } => format!("dropped {count} log lines about requests"),
         Event::RequestBroken {
--- a/src/event.rs
+++ b/src/event.rs
@@ -106,6 +106,7 @@
     166 Warning RateLimitMalformed "An upstream named a rate limit that can't be read; the limit before it stays." { upstream: String, value: String, milli_per_s: u64 }
     167 Info RateLimitedTraffic "Requests of this host for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, sent: u64, permits: u64, refused: u64 }
     168 Warning PermitsUnanswered "The directory's leader doesn't answer requests for permits; requests that only upstreams with a rate limit may run are refused." { waited_ms: u64 }
+    169 Info UpstreamFull "An upstream had no free capacity for a request and gets no new ones of this host for a while; it isn't ejected." { upstream: String, evidence: String, hold_ms: u64 }
     170 Warning PeerRefused "A process without a certificate of the deployment was refused." { address: String, reason: String }
     171 Warning PeerUnreachable "A process can't be reached." { host: String, reason: String }
     172 Warning MessageRefused "A message from another process couldn't be read." { reason: String }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,6 +26,15 @@
 /// Minimum time until the deadline for sending a request to an upstream, in milliseconds.
 pub(super) const REMAINING_MIN_MS: u64 = 8;
 
+/// Why attempts fail at an upstream that is full, and at others.
+const NO_ANSWER: &str = "no answer in time";
+const CONNECTION_BROKE: &str = "connection broke";
+const REFUSAL_WITHOUT_PROOF: &str = "refusal without proof";
+/// A refusal with proof that the request didn't run.
+pub(super) const REFUSED: &str = "upstream refused";
+/// The connection ended before anything was sent on it; another one may do.
+pub(super) const CLOSED_BEFORE_SENDING: &str = "connection closed before sending";
+
 /// Whether an upstream may have run the request of a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Execution {
@@ -100,11 +109,25 @@
             AttemptOutcome::ErrorResponse(_) => {
                 clients.record_failure(client, "error answer", clock)
             }
+            AttemptOutcome::Failed(
+                reason @ (NO_ANSWER | REFUSAL_WITHOUT_PROOF),
+                Execution::MayHaveRun,
+            )
+            | AttemptOutcome::Broken(reason @ CONNECTION_BROKE) => {
+                // The time that it took tells nothing about the upstream's speed.
+                if clients.record_unserved(client, reason, in_flight.sample(), clock) {
+                    in_flight.discard_time();
+                }
+            }
             AttemptOutcome::Failed(reason, Execution::MayHaveRun)
             | AttemptOutcome::Broken(reason) => clients.record_failure(client, reason, clock),
-            AttemptOutcome::Failed(_, Execution::NotRun) | AttemptOutcome::NotSent => {
-                in_flight.mark_not_run()
+            AttemptOutcome::Failed(reason, Execution::NotRun) => {
+                in_flight.discard_time();
+                if *reason == REFUSED {
+                    clients.record_refusal(client, in_flight.sample(), clock);
+                }
             }
+            AttemptOutcome::NotSent => in_flight.discard_time(),
         }
         outcome
     }
@@ -166,7 +189,7 @@
             Err(_) => {
                 // The connection may have gone silent, and so may other idle ones to this upstream.
                 client.pool.close_idle();
-                AttemptOutcome::Failed("no answer in time", Execution::MayHaveRun)
+                AttemptOutcome::Failed(NO_ANSWER, Execution::MayHaveRun)
             }
         }
     }
@@ -188,11 +211,8 @@
             Ok(response) => response,
             Err(mut e) => {
                 return match e.take_message() {
-                    Some(_) => AttemptOutcome::Failed(
-                        "connection closed before sending",
-                        Execution::NotRun,
-                    ),
-                    None => AttemptOutcome::Broken("connection broke"),
+                    Some(_) => AttemptOutcome::Failed(CLOSED_BEFORE_SENDING, Execution::NotRun),
+                    None => AttemptOutcome::Broken(CONNECTION_BROKE),
                 }
             }
         };
@@ -243,7 +263,10 @@
     if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         // Without the id it may be an earlier refusal that the upstream has sent once more.
         return match has_own_id {
-            true => AttemptOutcome::Failed("upstream refused", Execution::NotRun),
+            true if head.status == StatusCode::MISDIRECTED_REQUEST => {
+                AttemptOutcome::Failed("upstream doesn't own the key", Execution::NotRun)
+            }
+            true => AttemptOutcome::Failed(REFUSED, Execution::NotRun),
             false => AttemptOutcome::Failed("refusal without an id", Execution::MayHaveRun),
         };
     }
@@ -278,7 +301,5 @@
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
     ];
-    retryable
-        .contains(&status)
-        .then_some("refusal without proof")
+    retryable.contains(&status).then_some(REFUSAL_WITHOUT_PROOF)
 }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -6,6 +6,8 @@
 use crate::clock::Mono;
 use crate::decay::{remaining_weight, SampleCount};
 
+use super::saturation::{Capacity, Evidence, Saturation, SendSample, Verdict};
+
 /// Half-life of a load report, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 300.0;
 /// Weight of a new sample in the running mean of processing times.
@@ -53,6 +55,8 @@
     ejections: u32,
     /// End of the backoff that the upstream asked for.
     backoff_until: Mono,
+    /// What is known about its free capacity.
+    pub saturation: Saturation,
     /// Whether the upstream announced that it leaves. A process doesn't take that back.
     is_leaving: bool,
 }
@@ -72,6 +76,7 @@
             ejected_until: Mono(0),
             ejections: 0,
             backoff_until: Mono(0),
+            saturation: Saturation::default(),
             is_leaving: false,
         }
     }
@@ -98,6 +103,7 @@
     /// Records a load report: `total` requests run or wait, this host's own included.
     pub fn record_report(&mut self, total: u32, slots: u32, now: Mono) {
         self.slots = slots.max(1);
+        self.saturation.record_report(total, self.slots, now);
         self.reported_others = f64::from(total.saturating_sub(self.own_in_flight));
         self.reported_at = now;
     }
@@ -121,6 +127,7 @@
         self.service_mean_ms = service_mean.mean_ms;
         self.add_sample(sample_ms, now);
         self.failures = 0;
+        self.saturation.record_answer();
         self.ejections = 0;
         sample_ms
     }
@@ -168,6 +175,61 @@
         true
     }
 
+    /// Records a request that a full upstream may have left unserved: it broke, was refused without proof, or got no
+    /// answer. An upstream that was full isn't ejected but held back. `random` is from 0 to 1.
+    pub fn record_unserved(
+        &mut self,
+        sample: SendSample,
+        entry_hosts: u32,
+        random: f64,
+        now: Mono,
+    ) -> Verdict {
+        let capacity = self.capacity(entry_hosts, now);
+        let evidence = self.saturation.judge_failure(sample, capacity, now);
+        match evidence {
+            Some(evidence) => self.hold(evidence, sample, capacity, random, now),
+            None if self.record_failure(now) => Verdict::Ejected,
+            None => Verdict::Failed,
+        }
+    }
+
+    /// Records a refusal with proof that the request didn't run. An upstream without free slots is held back, one with
+    /// free slots had another reason.
+    pub fn record_refusal(
+        &mut self,
+        sample: SendSample,
+        entry_hosts: u32,
+        random: f64,
+        now: Mono,
+    ) -> Option<Verdict> {
+        if !self.saturation.was_busy_at(sample) {
+            return None;
+        }
+        let capacity = self.capacity(entry_hosts, now);
+        Some(self.hold(Evidence::LoadReport, sample, capacity, random, now))
+    }
+
+    fn hold(
+        &mut self,
+        evidence: Evidence,
+        sample: SendSample,
+        capacity: Capacity,
+        random: f64,
+        now: Mono,
+    ) -> Verdict {
+        match self.saturation.hold(sample, capacity, random, now) {
+            Some(hold_ms) => Verdict::Held { evidence, hold_ms },
+            None => Verdict::Full,
+        }
+    }
+
+    fn capacity(&self, entry_hosts: u32, now: Mono) -> Capacity {
+        Capacity {
+            per_s: f64::from(self.slots) * 1_000.0 / self.processing_ms(now).max(1.0),
+            entry_hosts,
+        }
+    }
+
     /// Records that no connection could be opened, and ejects the upstream.
     pub fn record_connect_failure(&mut self, now: Mono) {
         self.failures = FAILURES_TO_EJECT;
@@ -214,9 +276,14 @@
         !self.is_leaving && now >= self.backoff_until
     }
 
-    /// Reports whether the upstream is ejected or doesn't accept requests.
+    /// Reports whether the upstream has no free capacity as far as this host knows.
+    pub fn is_full(&self, now: Mono) -> bool {
+        self.saturation.full_remaining_ms(now) > 0
+    }
+
+    /// Reports whether the upstream is ejected, full, or doesn't accept requests.
     pub fn is_unavailable(&self, now: Mono) -> bool {
-        now < self.ejected_until || !self.accepts_requests(now)
+        now < self.ejected_until || self.is_full(now) || !self.accepts_requests(now)
     }
 
     /// Returns the age of the last load report, in milliseconds.
--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -159,6 +159,16 @@
         }
     }
 
+    /// Returns the failure of a request that an upstream may have run, which a refusal would deny. A caller that may
+    /// repeat it is still told when.
+    pub(super) fn after_possible_run(self, is_repeatable: bool) -> Failure {
+        Failure {
+            status: StatusCode::BAD_GATEWAY,
+            retry_after_ms: self.retry_after_ms.filter(|_| is_repeatable),
+            ..self
+        }
+    }
+
     pub(super) fn response(&self) -> Response<ResponseBody> {
         let body = Bytes::from_static(self.reason.as_bytes());
         let mut response = Response::new(ResponseBody::complete(body));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -76,6 +76,8 @@
     pub retries: Counter,
     /// Ejections of upstreams.
     pub ejections: Counter,
+    /// Times that upstreams were found full.
+    pub upstreams_full: Counter,
     /// Requests being processed.
     pub in_flight: Gauge,
     /// Requests waiting for an owner of their key.
@@ -135,6 +137,7 @@
             body_bytes: Family::default(),
             retries: Counter::default(),
             ejections: Counter::default(),
+            upstreams_full: Counter::default(),
             in_flight: Gauge::default(),
             waiting_for_owner: Gauge::default(),
             rate_limited_upstreams: Gauge::default(),
@@ -219,6 +222,11 @@
             "Ejections of upstreams",
             self.ejections.clone(),
         );
+        registry.register(
+            "upstreams_full",
+            "Times that upstreams were found full and got no requests for a while",
+            self.upstreams_full.clone(),
+        );
         registry.register(
             "in_flight",
             "Requests being processed",
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -16,7 +16,9 @@
 use crate::entry::request::strip_hop_by_hop;
 use crate::lock::lock;
 
-use super::attempt::{AttemptOutcome, Execution, UpstreamRequest, REMAINING_MIN_MS};
+use super::attempt::{
+    AttemptOutcome, Execution, UpstreamRequest, CLOSED_BEFORE_SENDING, REFUSED, REMAINING_MIN_MS,
+};
 use super::body::ResponseBody;
 use super::caller_request::{host_of, read_body, CallerRequest, Failure, Selection};
 use super::clearance::Clearance;
@@ -292,8 +294,13 @@
             };
             tracked.record_failed_attempt(&selected, reason, execution, now);
             match execution {
-                Execution::NotRun => refused_fence = Some(selected.fence),
+                Execution::NotRun => {
+                    let may_ask_again = self.may_ask_again(&selected, reason);
+                    refused_fence = (!may_ask_again).then_some(selected.fence);
+                }
                 Execution::MayHaveRun => {
+                    let is_full = selected.client.load().is_full(self.state.clock.now());
+                    refused_fence = is_full.then_some(selected.fence).or(refused_fence);
                     may_have_run = true;
                     clearance.mark_run();
                 }
@@ -309,11 +316,20 @@
             return Ok(response);
         }
         if may_have_run && failure.status == StatusCode::SERVICE_UNAVAILABLE {
-            return Err(Failure::failed(StatusCode::BAD_GATEWAY, failure.reason));
+            return Err(failure.after_possible_run(req.is_repeatable()));
         }
         Err(failure)
     }
 
+    /// Reports whether a key's owner may be asked again after an attempt that didn't run there. A full one is
+    /// selected only once it has free capacity.
+    fn may_ask_again(&self, selected: &Selection, reason: &'static str) -> bool {
+        let now = self.state.clock.now();
+        let load = selected.client.load();
+        let knows_load = load.is_full(now) || load.saturation.has_free_slot(now);
+        reason == CLOSED_BEFORE_SENDING || (reason == REFUSED && knows_load)
+    }
+
     fn return_permit(&self, selected: &Selection, permit: Option<Permit>) {
         let rate_limits = &self.state.clients.rate_limits;
         rate_limits.put_back(&selected.client.incarnation, permit);
--- a/src/gateway/request_tracker.rs
+++ b/src/gateway/request_tracker.rs
@@ -5,6 +5,7 @@
 
 use hdrhistogram::Histogram;
 use hyper::http::request::Parts;
+use hyper::StatusCode;
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Mono};
@@ -263,9 +264,9 @@
 }
 
 fn outcome_of(failure: &Failure) -> Outcome {
-    match failure.retry_after_ms {
-        Some(_) => Outcome::Refused,
-        None => Outcome::Failed,
+    match failure.status {
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Refused,
+        _ => Outcome::Failed,
     }
 }
 
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -16,6 +16,7 @@
 use super::permit::{choose_permitted, Candidate, Permit};
 use super::protocol::Protocol;
 use super::proxy::Proxy;
+use super::saturation::full_retry_after_ms;
 use super::traffic_split::Distance;
 use super::upstream_client::UpstreamClient;
 use super::view::DirectoryView;
@@ -38,6 +39,8 @@
 const OWNER_WAIT_MAX_MS: u64 = 350;
 /// `Retry-After` while no owner of the key is available, in milliseconds.
 const OWNER_RETRY_AFTER_MS: u64 = 300;
+/// Reason of refusals while the owner of the key is full.
+pub const OWNER_FULL: &str = "owner is full";
 
 impl<P: Protocol> Proxy<P> {
     /// Selects an upstream; waits up to `OWNER_WAIT_MAX_MS` for a new owner if the key's is unavailable.
@@ -53,7 +56,7 @@
         if let Some(selected) = self.select_owner(req.service, key, refused) {
             return Some(selected);
         }
-        if self.owner_backoff_ms(req) > OWNER_WAIT_MAX_MS {
+        if self.owner_backoff_ms(req) > OWNER_WAIT_MAX_MS || self.is_owner_full(req, refused) {
             return None;
         }
         let wait_started_at = self.state.clock.now();
@@ -96,11 +99,26 @@
     /// Returns the refusal of a request whose key has no available owner.
     pub(super) fn owner_unavailable(&self, req: &CallerRequest<'_>) -> Failure {
         match self.owner_backoff_ms(req) {
+            0 if self.is_owner_full(req, None) => {
+                Failure::refused(OWNER_FULL, full_retry_after_ms(rand::random()))
+            }
             0 => Failure::refused("key has no owner in reach", OWNER_RETRY_AFTER_MS),
             remaining_ms => Failure::refused("owner wants no work", remaining_ms),
         }
     }
 
+    /// Reports whether the key's owner has no free capacity, unless `refused` is its fencing token.
+    fn is_owner_full(&self, req: &CallerRequest<'_>, refused: Option<u64>) -> bool {
+        let view = self.state.view.borrow().clone();
+        let owner = req.key.and_then(|key| view.owner(req.service, key));
+        let Some((upstream, _)) = owner.filter(|(_, fence)| refused != Some(*fence)) else {
+            return false;
+        };
+        let client = self.state.clients.get(upstream, &view);
+        let is_full = client.load().is_full(self.state.clock.now());
+        is_full
+    }
+
     /// Returns the remaining backoff that the key's owner asked for, in milliseconds.
     pub(super) fn owner_backoff_ms(&self, req: &CallerRequest<'_>) -> u64 {
         let view = self.state.view.borrow().clone();
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -19,6 +19,7 @@
 use super::metrics::Metrics;
 use super::protocol::ResponseMetadata;
 use super::rate_limit::RateLimits;
+use super::saturation::{SendSample, Verdict};
 use super::view::DirectoryView;
 
 /// Share of an upstream's connections that all entry hosts use together; the rest is kept for health checks
@@ -109,6 +110,7 @@
     client: Arc<UpstreamClient>,
     /// Estimated requests at the upstream when this one was sent, itself included.
     in_flight_at_start: f64,
+    sample: SendSample,
     clock: Clock,
     started_at: Instant,
     is_recorded: bool,
@@ -119,10 +121,13 @@
     pub fn start(client: &Arc<UpstreamClient>, clock: &Clock) -> InFlightRequest {
         let mut load = client.load();
         load.own_in_flight += 1;
-        let in_flight_at_start = load.estimated_in_flight(clock.now());
+        let now = clock.now();
+        let in_flight_at_start = load.estimated_in_flight(now);
+        let sample = load.saturation.record_send(now);
         InFlightRequest {
             client: client.clone(),
             in_flight_at_start,
+            sample,
             clock: *clock,
             started_at: Instant::now(),
             is_recorded: false,
@@ -151,8 +156,13 @@
         self.client.record_processing(processing_ms);
     }
 
-    /// Marks the request as not run, so that no processing time is recorded.
-    pub fn mark_not_run(&mut self) {
+    /// Returns the demand at the time of sending.
+    pub fn sample(&self) -> SendSample {
+        self.sample
+    }
+
+    /// Marks the request as not run, or as sent to a full upstream, so that no processing time is recorded.
+    pub fn discard_time(&mut self) {
         self.is_recorded = true;
     }
 
@@ -191,6 +201,8 @@
     unreported_leaving: Mutex<Vec<Incarnation>>,
     by_id: Mutex<BTreeMap<String, Arc<UpstreamClient>>>,
     processing_by_service: Mutex<BTreeMap<String, ProcessingMean>>,
+    /// Entry hosts that share the upstreams, as in the view last used.
+    entry_hosts: AtomicU32,
 }
 
 impl UpstreamClients {
@@ -211,6 +223,7 @@
             unreported_leaving: Mutex::default(),
             by_id: Mutex::default(),
             processing_by_service: Mutex::default(),
+            entry_hosts: AtomicU32::new(1),
         }
     }
 
@@ -221,6 +234,51 @@
         }
     }
 
+    /// Records a request that was sent at `sample` and that a full upstream may have left unserved. A full one gets
+    /// nothing for a while; any other has failed. Returns whether it was full.
+    pub fn record_unserved(
+        &self,
+        client: &UpstreamClient,
+        reason: &str,
+        sample: SendSample,
+        clock: &Clock,
+    ) -> bool {
+        let entry_hosts = self.entry_hosts.load(Ordering::Relaxed);
+        let random = rand::random();
+        let verdict = client
+            .load()
+            .record_unserved(sample, entry_hosts, random, clock.now());
+        self.record_verdict(client, reason, verdict);
+        matches!(verdict, Verdict::Full | Verdict::Held { .. })
+    }
+
+    /// Records that an upstream refused a request that was sent at `sample`, with proof that it didn't run.
+    pub fn record_refusal(&self, client: &UpstreamClient, sample: SendSample, clock: &Clock) {
+        let entry_hosts = self.entry_hosts.load(Ordering::Relaxed);
+        let random = rand::random();
+        let verdict = client
+            .load()
+            .record_refusal(sample, entry_hosts, random, clock.now());
+        if let Some(verdict) = verdict {
+            self.record_verdict(client, "", verdict);
+        }
+    }
+
+    fn record_verdict(&self, client: &UpstreamClient, reason: &str, verdict: Verdict) {
+        match verdict {
+            Verdict::Ejected => self.record_ejected(client, reason),
+            Verdict::Held { evidence, hold_ms } => {
+                self.metrics.upstreams_full.inc();
+                self.recorder.record(Event::UpstreamFull {
+                    upstream: client.incarnation.id.clone(),
+                    evidence: evidence.name().to_string(),
+                    hold_ms,
+                });
+            }
+            Verdict::Failed | Verdict::Full => {}
+        }
+    }
+
     /// Records that no connection could be opened, and ejects the upstream.
     pub fn record_unreachable(&self, client: &UpstreamClient, clock: &Clock) {
         client.load().record_connect_failure(clock.now());
@@ -243,6 +301,8 @@
 
     /// Returns the client of an upstream; creates it on first use, and when the process or address changed.
     pub fn get(&self, upstream: &Upstream, view: &DirectoryView) -> Arc<UpstreamClient> {
+        self.entry_hosts
+            .store(view.entry_hosts.max(1), Ordering::Relaxed);
         let mut by_id = lock(&self.by_id);
         let id = &upstream.incarnation.id;
         if let Some(client) = by_id.get(id) {
