Infer a rate limit for owners whose keys get more than they can serve

Cause: entry hosts know too little of a hot owner: with 87 of them each gets one of its answers every few seconds. Its queue of 2.5 s stays full, which delays the releases that would spread the keys.

Change: the leader compares the rate of each owner's keys with its slots and processing time after each planning round, and issues permits for 0.9 of what it can serve while more than 1.25 times that comes. The limit in force is the lowest of the announced and the inferred one. Every update confirms inferred limits; a host drops one that wasn't confirmed for 3 s.

Not played on a deployment.

--- a/src/diagnosis.rs
+++ b/src/diagnosis.rs
@@ -272,14 +272,15 @@
         | Event::RequestsUnlogged { .. } => is_same_host,
         Event::UpstreamEjected { upstream, .. }
         | Event::UpstreamFull { upstream, .. }
+        | Event::InferredLimitChanged { upstream, .. }
         | Event::UpstreamReadmitted { upstream }
         | Event::UpstreamEnded { upstream, .. }
         | Event::BreakNotACrash { upstream, .. } => {
             is_same_host && end.upstreams.contains(upstream.as_str())
         }
-        Event::UpstreamRegistered { upstream, .. } | Event::UpstreamDeregistered { upstream } => {
-            end.upstreams.contains(upstream.as_str())
-        }
+        Event::UpstreamRegistered { upstream, .. }
+        | Event::UpstreamDeregistered { upstream }
+        | Event::LimitInferred { upstream, .. } => end.upstreams.contains(upstream.as_str()),
         Event::CallFailed {
             upstream, from, to, ..
         } => {
--- a/src/diagnosis/cause.rs
+++ b/src/diagnosis/cause.rs
@@ -253,6 +253,15 @@
             " This host last found {upstream} full {} ms before (by {evidence}).",
             end.time_ms.saturating_sub(record.time.wall_ms)
         )),
+        Event::InferredLimitChanged {
+            upstream,
+            to_milli_per_s,
+            ..
+        } if end.upstreams.contains(upstream.as_str()) && *to_milli_per_s > 0 => Some(format!(
+            " The directory's leader had limited {upstream} to {} requests a second from all entry \
+             hosts, which is what it can serve.",
+            *to_milli_per_s as f64 / 1_000.0
+        )),
         _ => None,
     });
     let key = end
--- a/src/diagnosis/describe.rs
+++ b/src/diagnosis/describe.rs
@@ -58,6 +58,27 @@
             evidence,
             hold_ms,
         } => format!("finds upstream {upstream} full (by {evidence}); holds back for {hold_ms} ms"),
+        Event::InferredLimitChanged {
+            upstream,
+            to_milli_per_s,
+            ..
+        } => match to_milli_per_s {
+            0 => format!("learns that the leader no longer limits {upstream}"),
+            _ => format!(
+                "learns that the leader limits {upstream} to {} requests a second",
+                *to_milli_per_s as f64 / 1_000.0
+            ),
+        },
+        Event::LimitInferred {
+            upstream,
+            to_milli_per_s,
+            demand_milli_per_s,
+            ..
+        } => format!(
+            "limits {upstream} to {} requests a second (0 is no limit), since {} come",
+            *to_milli_per_s as f64 / 1_000.0,
+            *demand_milli_per_s as f64 / 1_000.0
+        ),
         Event::UpstreamReadmitted { upstream } => format!("readmits upstream {upstream}"),
         Event::RequestsUnlogged { count } => format!("dropped {count} log lines about requests"),
         Event::RequestBroken {
--- a/src/directory/key_rates.rs
+++ b/src/directory/key_rates.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the standard deviation of a recent rate if requests arrive independently.
+    pub(super) fn recent_deviation(rate: f64) -> f64 {
+        DecayingCounts::new(RECENT_HALF_LIFE_MS).std_deviation(rate)
+    }
+
     /// Decays the counts by `elapsed_ms`.
     pub fn decay(&mut self, elapsed_ms: u64) {
         self.recent.decay(elapsed_ms);
--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -5,6 +5,7 @@
 //! results of calls are inputs; the calls to make are the output.
 
 mod call;
+mod demand;
 mod grants;
 mod merge;
 mod moves;
@@ -15,6 +16,7 @@
 use crate::clock::Mono;
 
 use super::balance::{OngoingMove, RecentMove, TransferPlanner};
+use super::inferred_limits::InferredLimits;
 use super::key_rates::KeyRates;
 use super::model::{uncovered_ranges, Incarnation, Key, KeyRange, KeyTable, Phase};
 use super::protocol::UpstreamSpeed;
@@ -176,6 +178,9 @@
     refused_grants: BTreeSet<GrantId>,
     rates: BTreeMap<String, KeyRates>,
     speeds: Speeds,
+    inferred_limits: InferredLimits,
+    /// The planning round after which limits were inferred last.
+    inferred_at: Mono,
     /// When each service first had an upstream that may own keys.
     discovered_at: BTreeMap<String, Mono>,
     last_call: CallId,
@@ -207,6 +212,8 @@
             refused_grants: BTreeSet::new(),
             rates: BTreeMap::new(),
             speeds: Speeds::default(),
+            inferred_limits: InferredLimits::default(),
+            inferred_at: elected_at,
             discovered_at: BTreeMap::new(),
             last_call: CallId { term, number: 0 },
             planned_at: elected_at,
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -9,6 +9,7 @@
 pub mod departures;
 mod follower;
 pub mod handle;
+pub mod inferred_limits;
 pub mod key_rates;
 pub mod lessor;
 pub mod membership;
--- a/src/directory/permits.rs
+++ b/src/directory/permits.rs
@@ -9,6 +9,7 @@
 use crate::clock::Mono;
 use crate::rate_limit::RateLimit;
 
+use super::inferred_limits::LimitChange;
 use super::model::Incarnation;
 use super::protocol::{LimitReport, PermitGrant, PermitRequest};
 
@@ -36,27 +37,36 @@
 /// One upstream's limit, and the schedule of its permits.
 #[derive(Debug)]
 struct IssuedLimit {
+    /// The limit that the upstream announced.
     limit: Option<RateLimit>,
     /// When an entry host last read the limit in a response.
     observed_at: Mono,
+    /// The limit that follows from what the upstream can serve, and when it last changed.
+    inferred: Option<RateLimit>,
+    inferred_at: Mono,
     /// The start time of the next permit, in microseconds.
     next_start_us: u64,
     counts: PermitCounts,
 }
 
 impl IssuedLimit {
+    fn effective(&self) -> Option<RateLimit> {
+        [self.limit, self.inferred].into_iter().flatten().min()
+    }
+
     fn report(&self, upstream: &Incarnation, now: Mono) -> LimitReport {
         LimitReport {
             upstream: upstream.clone(),
             limit: self.limit,
             age_ms: now.since(self.observed_at),
+            inferred: self.inferred,
         }
     }
 
     /// Returns the time until the start of each permit for a request, in milliseconds.
     fn take_starts(&mut self, request: &PermitRequest, now: Mono) -> Vec<u64> {
         let mut starts_in_ms = Vec::new();
-        let Some(limit) = self.limit else {
+        let Some(limit) = self.effective() else {
             return starts_in_ms;
         };
         let now_us = now.0 * 1_000;
@@ -114,6 +124,11 @@
         self.version
     }
 
+    /// Reports whether limits are inferred, which hosts must be told again and again.
+    pub fn has_inferred(&self) -> bool {
+        self.upstreams.values().any(|u| u.inferred.is_some())
+    }
+
     /// Reports whether a host that knows version `known` must be told of limits.
     pub fn has_news(&self, known: u64) -> bool {
         !self.upstreams.is_empty() && known != self.version
@@ -132,6 +147,8 @@
             let entry = IssuedLimit {
                 limit: report.limit,
                 observed_at,
+                inferred: None,
+                inferred_at: Mono(0),
                 next_start_us: now.max(self.starts_from).0 * 1_000,
                 counts: PermitCounts::default(),
             };
@@ -147,7 +164,7 @@
         if before == report.limit {
             return None;
         }
-        if let Some(limit) = report.limit {
+        if let Some(limit) = entry.effective() {
             // A permit that was far ahead at a lower limit is due earlier at this one.
             let due_us = now.0 * 1_000 + limit.interval_us();
             entry.next_start_us = entry.next_start_us.min(due_us);
@@ -156,6 +173,27 @@
         Some((before, report.limit))
     }
 
+    /// Takes over a limit that was inferred, changed or ended. Permits under a new one start after `pause_ms`, in which
+    /// the upstream serves what it has got already.
+    pub fn set_inferred(&mut self, change: &LimitChange, pause_ms: u64, now: Mono) {
+        let starts_from = self.starts_from;
+        let entry = self.upstreams.entry(change.upstream.clone());
+        let entry = entry.or_insert_with(|| IssuedLimit {
+            limit: None,
+            observed_at: Mono(0),
+            inferred: None,
+            inferred_at: now,
+            next_start_us: now.max(starts_from).0 * 1_000,
+            counts: PermitCounts::default(),
+        });
+        if entry.inferred.is_none() {
+            entry.next_start_us = entry.next_start_us.max(now.plus(pause_ms).0 * 1_000);
+        }
+        entry.inferred = change.limit;
+        entry.inferred_at = now;
+        self.version += 1;
+    }
+
     /// Records that a host asks, and returns the minimum time until it may ask again, in milliseconds. It grows
     /// with the number of hosts that ask.
     ///
@@ -194,7 +232,7 @@
     ///
     /// let upstream = Incarnation { id: "u1".to_string(), born_ms: 1 };
     /// let limit = RateLimit::from_per_s(5.0);
-    /// let known = LimitReport { upstream, limit, age_ms: 0 };
+    /// let known = LimitReport { upstream, limit, age_ms: 0, inferred: None };
     /// let mut issuer = PermitIssuer::new(1, Mono(0));
     /// let request = PermitRequest { known, is_observed: true, count: 8, wait_max_ms: 400 };
     /// issuer.record(&request, Mono(10_000));
@@ -211,6 +249,7 @@
                     upstream,
                     limit: None,
                     age_ms: request.known.age_ms,
+                    inferred: None,
                 },
                 starts_in_ms: Vec::new(),
             };
@@ -221,7 +260,7 @@
         }
     }
 
-    /// Returns the limits in force.
+    /// Returns the limits that upstreams announced.
     pub fn limits(&self) -> BTreeMap<Incarnation, RateLimit> {
         let in_force = |(upstream, entry): (&Incarnation, &IssuedLimit)| {
             Some((upstream.clone(), entry.limit?))
@@ -240,8 +279,9 @@
     pub fn forget_ended(&mut self, is_known: impl Fn(&Incarnation) -> bool, now: Mono) -> bool {
         let before = self.upstreams.len();
         self.upstreams.retain(|upstream, entry| {
-            let is_recent = now.since(entry.observed_at) < ENDED_LIMIT_KEPT_MS;
-            is_known(upstream) && (entry.limit.is_some() || is_recent)
+            let changed_at = entry.observed_at.max(entry.inferred_at);
+            let is_recent = now.since(changed_at) < ENDED_LIMIT_KEPT_MS;
+            is_known(upstream) && (entry.effective().is_some() || is_recent)
         });
         self.upstreams.len() < before
     }
@@ -250,7 +290,7 @@
     pub fn take_counts(&mut self) -> Vec<(Incarnation, RateLimit, PermitCounts)> {
         let take = |(upstream, entry): (&Incarnation, &mut IssuedLimit)| {
             let counts = std::mem::take(&mut entry.counts);
-            Some((upstream.clone(), entry.limit?, counts))
+            Some((upstream.clone(), entry.effective()?, counts))
         };
         self.upstreams.iter_mut().filter_map(take).collect()
     }
--- a/src/directory/protocol.rs
+++ b/src/directory/protocol.rs
@@ -47,6 +47,15 @@
     pub limit: Option<RateLimit>,
     /// How long ago an entry host read it in a response, in milliseconds.
     pub age_ms: u64,
+    /// The limit that the leader infers from what the upstream can serve; `None` in reports of entry hosts.
+    pub inferred: Option<RateLimit>,
+}
+
+impl LimitReport {
+    /// Returns the limit in force: the lowest of those that the upstream has.
+    pub fn effective(&self) -> Option<RateLimit> {
+        [self.limit, self.inferred].into_iter().flatten().min()
+    }
 }
 
 /// An entry host's request for permits to send requests to an upstream with a rate limit.
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -8,6 +8,9 @@
 use super::super::protocol::PermitRequest;
 use super::super::suspects::{ready_versions, Stage};
 
+/// How long an upstream gets no permits once a limit was inferred, in milliseconds: it has a queue from before the
+/// entry hosts knew of the limit, and gives away keys only after the work on them has ended.
+const BACKLOG_PAUSE_MS: u64 = 1_000;
 /// The maximum number of hosts that an event names.
 const HOSTS_LOGGED_MAX: usize = 8;
 
@@ -227,6 +230,17 @@
         let output = leader_state.lessor.step(&self.state, now, may_call);
         self.output.calls.extend(output.calls);
         self.output.calls_until = leader_state.lease_until;
+        for change in leader_state.lessor.infer_limits(&self.state, now) {
+            leader_state
+                .permits
+                .set_inferred(&change, BACKLOG_PAUSE_MS, now);
+            self.output.events.push(Event::LimitInferred {
+                upstream: change.upstream.id,
+                from_milli_per_s: change.before.map_or(0, RateLimit::milli_per_s),
+                to_milli_per_s: change.limit.map_or(0, RateLimit::milli_per_s),
+                demand_milli_per_s: (change.demand_per_s * 1_000.0) as u64,
+            });
+        }
         let mut commands = output.commands;
         let is_expired = |id: &String| {
             let heard_at = leader_state.last_heard.get(id).copied().unwrap_or(now);
@@ -339,7 +353,9 @@
                                 replicas: self.raft.membership().hosts(),
                                 entry_hosts: leader_state.watchers.len() as u32,
                                 limits_version: permits.version(),
-                                limits: match permits.has_news(*known_limits) {
+                                limits: match permits.has_news(*known_limits)
+                                    || permits.has_inferred()
+                                {
                                     true => permits.reports(now),
                                     false => Vec::new(),
                                 },
--- a/src/directory/speeds.rs
+++ b/src/directory/speeds.rs
@@ -71,7 +71,7 @@
     }
 
     /// Returns the mean time an upstream takes for a request, in milliseconds, if there are enough answers.
-    fn mean_ms(&self, id: &str) -> Option<f64> {
+    pub(super) fn mean_ms(&self, id: &str) -> Option<f64> {
         let totals = self.by_id.get(id)?;
         (totals.answers >= ANSWERS_MIN).then(|| totals.total_ms / totals.answers)
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -110,6 +110,7 @@
     170 Warning PeerRefused "A process without a certificate of the deployment was refused." { address: String, reason: String }
     171 Warning PeerUnreachable "A process can't be reached." { host: String, reason: String }
     172 Warning MessageRefused "A message from another process couldn't be read." { reason: String }
+    173 Info InferredLimitChanged "The directory's leader limits the requests for an upstream to what it can serve; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64 }
     200 Info RoutesDecided "A route configuration was decided." { version: u64, routes: u64 }
     201 Warning RoutesRefused "A route configuration was refused; nothing changed." { reason: String }
     202 Info RoutesInForce "A route configuration is in force on an entry host." { version: u64, routes: u64, before: u64, unconfirmed_ms: u64 }
@@ -125,6 +126,7 @@
     212 Warning CallsUnlogged "Events about failed calls were omitted to bound the log." { count: u64 }
     213 Info RateLimitReported "An entry host reported that the rate limit of an upstream changed; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, age_ms: u64 }
     214 Info PermitsIssued "Permits for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, issued: u64, refused: u64 }
+    215 Info LimitInferred "The leader limits the requests for an owner of keys to what it can serve, since more come; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, demand_milli_per_s: u64 }
     220 Warning RequestFailed "A request ended without a complete answer from an upstream." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
     221 Warning AttemptFailed "An attempt to get an answer from one upstream failed." { request: String, upstream: String, fence: u64, reason: String, sent: bool, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64 }
     222 Warning RequestsUnlogged "Events about requests were omitted to bound the log." { count: u64 }
--- a/src/gateway/permit_book.rs
+++ b/src/gateway/permit_book.rs
@@ -4,6 +4,8 @@
 //! may run wait for one if it starts in time; the others are refused at once, with a `Retry-After` that
 //! spreads them at the rate at which this host gets permits.
 
+mod inferred;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use tokio::sync::oneshot;
@@ -18,6 +20,7 @@
 
 use super::permit::{Permit, PermitOutcome, PermitState};
 use super::protocol::RateLimitNotice;
+use super::saturation::full_retry_after_ms;
 
 /// Half-life of the rate at which this host gets permits, in milliseconds.
 const SHARE_HALF_LIFE_MS: f64 = 2_000.0;
@@ -37,7 +40,11 @@
 /// What this host knows of one upstream's limit.
 #[derive(Debug, Default)]
 struct LimitedUpstream {
+    /// The limit that the upstream announced.
     limit: Option<RateLimit>,
+    /// The limit that the leader inferred, and until when it is in force unless the leader confirms it.
+    inferred: Option<RateLimit>,
+    inferred_until: Mono,
     /// When this host learned of the limit.
     learned_at: Mono,
     /// When some host last read it in a response.
@@ -69,7 +76,8 @@
         // In a steady state the decaying count is the rate times the half-life over ln 2.
         let per_s =
             self.granted_until(now) * std::f64::consts::LN_2 / (SHARE_HALF_LIFE_MS / 1_000.0);
-        let milli_per_s = self.limit.map_or(1, RateLimit::milli_per_s);
+        let limit = self.effective(now);
+        let milli_per_s = limit.map_or(1, RateLimit::milli_per_s);
         per_s.max(milli_per_s as f64 / 1_000.0 / f64::from(entry_hosts.max(1)))
     }
 
@@ -93,7 +101,7 @@
     }
 
     fn drop_unusable_permits(&mut self, now: Mono) {
-        let limit = self.limit;
+        let limit = self.effective(now);
         self.permits
             .retain(|p| now < p.expires_at && limit.is_some_and(|l| p.limit <= l));
     }
@@ -114,6 +122,9 @@
     /// the rate of its permits. Beyond the maximum they are distributed by `random`, from 0 to 1.
     fn retry_after_ms(&mut self, per_s: f64, random: f64, now: Mono) -> u64 {
         self.refused += 1;
+        if self.is_inferred(now) {
+            return full_retry_after_ms(random);
+        }
         let earliest = now.0 as f64 + RETURN_MIN_MS;
         let return_at_ms = self.return_at_ms.max(earliest) + 1_000.0 / per_s;
         if return_at_ms > now.0 as f64 + RETURN_MAX_MS {
@@ -128,6 +139,7 @@
             upstream: upstream.clone(),
             limit: self.limit,
             age_ms: now.since(self.observed_at),
+            inferred: None,
         }
     }
 }
@@ -152,7 +164,7 @@
         self.entry_hosts = entry_hosts;
     }
 
-    /// Returns the limit of an upstream.
+    /// Returns the limit that an upstream announced.
     pub fn limit(&self, upstream: &Incarnation) -> Option<RateLimit> {
         self.upstreams.get(upstream)?.limit
     }
@@ -192,14 +204,18 @@
 
     /// Takes over limits that other hosts have read, unless this one read them later. Returns events to log.
     pub fn learn(&mut self, reports: &[LimitReport], now: Mono) -> Vec<Event> {
+        let mut events = self.learn_inferred(reports, now);
         let learn = |report: &LimitReport| {
             let observed_at = Mono(now.0.saturating_sub(report.age_ms));
             let known = self.upstreams.get(&report.upstream);
-            let is_news = known.map_or(report.limit.is_some(), |k| observed_at > k.observed_at);
+            let is_news = known.map_or(report.limit.is_some(), |k| {
+                observed_at > k.observed_at && (report.limit.is_some() || k.was_announced())
+            });
             is_news
                 .then(|| self.set_limit(&report.upstream, report.limit, observed_at, true, now))?
         };
-        reports.iter().filter_map(learn).collect()
+        events.extend(reports.iter().filter_map(learn));
+        events
     }
 
     fn set_limit(
@@ -234,7 +250,7 @@
             return PermitState::NotNeeded;
         };
         entry.drop_unusable_permits(now);
-        if entry.limit.is_none() {
+        if entry.effective(now).is_none() {
             PermitState::NotNeeded
         } else if entry.permits.front().is_some_and(|p| p.starts_at <= now) {
             PermitState::Held
@@ -262,7 +278,7 @@
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return true;
         };
-        if let Some(limit) = entry.limit {
+        if let Some(limit) = entry.effective(now) {
             let is_usable = |p: &Permit| now < p.expires_at && p.limit <= limit;
             if !permit.is_some_and(|p| is_usable(&p)) && entry.take_started(now).is_none() {
                 return false;
@@ -360,7 +376,8 @@
                 continue;
             };
             // The leader has weighed what this host knew when it asked; only later responses are news.
-            if known.observed_at < asked_at {
+            let is_announced = grant.known.limit.is_some() || known.was_announced();
+            if known.observed_at < asked_at && is_announced {
                 let observed_at = Mono(now.0.saturating_sub(grant.known.age_ms));
                 let limit = grant.known.limit;
                 events.extend(self.set_limit(&upstream, limit, observed_at, true, now));
@@ -369,7 +386,8 @@
                 continue;
             };
             entry.is_reported = entry.is_reported || entry.limit == grant.known.limit;
-            if let Some(limit) = grant.known.limit {
+            events.extend(entry.set_inferred(&upstream, grant.known.inferred, now));
+            if let Some(limit) = grant.known.effective() {
                 entry.record_granted(grant.starts_in_ms.len(), now);
                 // The permits count from before the request, so that a late answer doesn't prolong them.
                 let expires_at = |starts_in_ms| asked_at.plus(starts_in_ms + PERMIT_LIFETIME_MS);
@@ -408,7 +426,7 @@
             let in_time = entry.pop_permit_by(waiter.wait_until.plus(way_ms));
             let outcome = match in_time {
                 Some(permit) => PermitOutcome::Granted(permit),
-                None if entry.limit.is_none() => PermitOutcome::NotNeeded,
+                None if entry.effective(now).is_none() => PermitOutcome::NotNeeded,
                 None => PermitOutcome::Refused(entry.retry_after_ms(per_s, random(), now)),
             };
             // The request's caller may have left.
@@ -441,7 +459,7 @@
             Some(Event::RateLimitedTraffic {
                 upstream: upstream.id.clone(),
                 over_ms,
-                milli_per_s: entry.limit?.milli_per_s(),
+                milli_per_s: entry.effective(now)?.milli_per_s(),
                 sent,
                 permits,
                 refused,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -29,6 +29,7 @@
 use super::protocol::{Protocol, RequestMetadata};
 use super::request_tracker::{RequestTracker, TrackedRequest};
 use super::retry::RetryBudget;
+use super::selection::OWNER_FULL;
 use super::suspects::Suspects;
 use super::traffic_split::TrafficSplitter;
 use super::upstream_client::UpstreamClients;
@@ -248,8 +249,9 @@
             let permit = match self.acquire_permit(req, &selected).await {
                 Ok(permit) => permit,
                 Err(retry_after_ms) => {
+                    let reason = self.limit_reason(&selected);
                     tracked.history.not_admitted = Some(selected);
-                    break Failure::refused("upstream at its rate limit", retry_after_ms);
+                    break Failure::refused(reason, retry_after_ms);
                 }
             };
             if !self.may_send(req, &mut clearance, now).await {
@@ -330,6 +332,16 @@
         reason == CLOSED_BEFORE_SENDING || (reason == REFUSED && knows_load)
     }
 
+    /// Returns why a request isn't sent to an upstream with a limit.
+    fn limit_reason(&self, selected: &Selection) -> &'static str {
+        let rate_limits = &self.state.clients.rate_limits;
+        let now = self.state.clock.now();
+        match rate_limits.is_inferred(&selected.client.incarnation, now) {
+            true => OWNER_FULL,
+            false => "upstream at its rate limit",
+        }
+    }
+
     fn return_permit(&self, selected: &Selection, permit: Option<Permit>) {
         let rate_limits = &self.state.clients.rate_limits;
         rate_limits.put_back(&selected.client.incarnation, permit);
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -89,6 +89,16 @@
         self.record(events);
     }
 
+    /// Reports whether the limit of an upstream is one that the leader inferred, because the upstream is full.
+    pub fn is_inferred(&self, upstream: &Incarnation, now: Mono) -> bool {
+        self.is_used() && lock(&self.book).is_inferred(upstream, now)
+    }
+
+    /// Reports whether an inferred limit was in force at some time since `since`.
+    pub fn was_inferred_since(&self, upstream: &Incarnation, since: Mono) -> bool {
+        self.is_used() && lock(&self.book).was_inferred_since(upstream, since)
+    }
+
     /// Returns whether a request could be sent to an upstream now.
     pub fn permit_state(&self, upstream: &Incarnation, now: Mono) -> PermitState {
         lock(&self.book).permit_state(upstream, now)
@@ -126,7 +136,7 @@
         let now = clock.now();
         let waiting = {
             let mut book = lock(&self.book);
-            if book.limit(upstream).is_none() {
+            if !book.needs_permit(upstream, now) {
                 return Ok(None);
             }
             if let Some(permit) = book.take(upstream, now) {
@@ -151,7 +161,10 @@
     /// Logs the traffic of each upstream with a limit since the last call.
     pub fn log_traffic(&self, now: Mono) {
         if self.is_used() {
-            let events = lock(&self.book).take_traffic(now);
+            let mut book = lock(&self.book);
+            let events = book.take_traffic(now);
+            book.forget_ended(now);
+            drop(book);
             self.metrics.rate_limited_upstreams.set(events.len() as i64);
             self.record(events);
         }
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -244,6 +244,14 @@
         clock: &Clock,
     ) -> bool {
         let entry_hosts = self.entry_hosts.load(Ordering::Relaxed);
+        let upstream = &client.incarnation;
+        if self
+            .rate_limits
+            .was_inferred_since(upstream, sample.sent_at)
+        {
+            let now = clock.now();
+            client.load().saturation.record_inferred_limit(now);
+        }
         let random = rand::random();
         let verdict = client
             .load()
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -228,6 +228,7 @@
             upstream: upstream.clone(),
             limit,
             age_ms,
+            inferred: None,
         },
         starts_in_ms,
     };
