Send nothing on a new connection that the upstream resets at once

Cause: above its number of connections an upstream resets new ones within 7 to 17 ms. The request had been written by then and may have run, as far as the entry host knew.

Change: after a request was lost on a new connection within 50 ms, requests that need a new connection to this upstream wait for 20 ms once it is open, for 10 s from the last reset. If it was reset by then, nothing was sent: the request hasn't run, and the upstream counts as full.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use super::body::{self, ResponseBody, ResponseSource};
 use super::permit::Permit;
 use super::protocol::{Protocol, RateLimitNotice, ResponseMetadata};
+use super::saturation::SendSample;
 use super::upstream_client::{InFlightRequest, UpstreamClient, UpstreamClients};
 
 /// Maximum age of the last response on a connection that a non-idempotent request reuses, in milliseconds.
@@ -34,6 +35,13 @@
 pub(super) const REFUSED: &str = "upstream refused";
 /// The connection ended before anything was sent on it; another one may do.
 pub(super) const CLOSED_BEFORE_SENDING: &str = "connection closed before sending";
+/// The upstream reset a new connection before anything was sent on it.
+pub(super) const RESET_WHEN_OPENED: &str = "connection reset when opened";
+/// Delay before a request is sent on a new connection to an upstream that resets such connections. Above its number
+/// of connections, an upstream resets new ones within 7 to 17 ms.
+const SETTLE_DELAY: Duration = Duration::from_millis(20);
+/// Time after opening a connection in which its end counts as a reset of a new connection, in milliseconds.
+const RESET_WINDOW_MS: u64 = 50;
 
 /// Whether an upstream may have run the request of a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,7 +105,8 @@
     ) -> AttemptOutcome {
         let mut in_flight = InFlightRequest::start(client, clock);
         let round_trip_ms = self.round_trip_ms;
-        let outcome = match self.connect(client, clients, clock).await {
+        let connecting = self.connect(client, clients, in_flight.sample(), clock);
+        let outcome = match connecting.await {
             Ok(connection) => {
                 self.send_on(connection, client, clients, protocol, clock)
                     .await
@@ -137,6 +146,7 @@
         &self,
         client: &UpstreamClient,
         clients: &UpstreamClients,
+        sample: SendSample,
         clock: &Clock,
     ) -> Result<Connection, AttemptOutcome> {
         let proof = match self.repeat {
@@ -149,7 +159,18 @@
         let now = clock.now();
         let remaining = Duration::from_millis(self.deadline.since(now));
         match tokio::time::timeout(remaining, client.pool.take(proof, now)).await {
-            Ok(Ok(connection)) => Ok(connection),
+            Ok(Ok(connection)) => {
+                if connection.reused || !client.resets_new_connections(now) {
+                    return Ok(connection);
+                }
+                tokio::time::sleep(SETTLE_DELAY).await;
+                if connection.sender.is_closed() {
+                    clients.record_reset_when_opened(client, sample, clock);
+                    let reason = RESET_WHEN_OPENED;
+                    return Err(AttemptOutcome::Failed(reason, Execution::NotRun));
+                }
+                Ok(connection)
+            }
             Ok(Err(_)) => {
                 clients.record_unreachable(client, clock);
                 let reason = "can't connect";
@@ -212,7 +233,13 @@
             Err(mut e) => {
                 return match e.take_message() {
                     Some(_) => AttemptOutcome::Failed(CLOSED_BEFORE_SENDING, Execution::NotRun),
-                    None => AttemptOutcome::Broken(CONNECTION_BROKE),
+                    None => {
+                        let now = clock.now();
+                        if !connection.reused && now.since(sent_at) <= RESET_WINDOW_MS {
+                            client.record_reset(now);
+                        }
+                        AttemptOutcome::Broken(CONNECTION_BROKE)
+                    }
                 }
             }
         };
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -209,6 +209,19 @@
         Some(self.hold(Evidence::LoadReport, sample, capacity, random, now))
     }
 
+    /// Records that a new connection was reset before anything was sent: the upstream has all the connections that it
+    /// accepts.
+    pub fn record_reset_when_opened(
+        &mut self,
+        sample: SendSample,
+        entry_hosts: u32,
+        random: f64,
+        now: Mono,
+    ) -> Verdict {
+        let capacity = self.capacity(entry_hosts, now);
+        self.hold(Evidence::Connections, sample, capacity, random, now)
+    }
+
     fn hold(
         &mut self,
         evidence: Evidence,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -18,6 +18,7 @@
 
 use super::attempt::{
     AttemptOutcome, Execution, UpstreamRequest, CLOSED_BEFORE_SENDING, REFUSED, REMAINING_MIN_MS,
+    RESET_WHEN_OPENED,
 };
 use super::body::ResponseBody;
 use super::caller_request::{host_of, read_body, CallerRequest, Failure, Selection};
@@ -329,7 +330,8 @@
         let now = self.state.clock.now();
         let load = selected.client.load();
         let knows_load = load.is_full(now) || load.saturation.has_free_slot(now);
-        reason == CLOSED_BEFORE_SENDING || (reason == REFUSED && knows_load)
+        let is_refusal = [REFUSED, RESET_WHEN_OPENED].contains(&reason);
+        reason == CLOSED_BEFORE_SENDING || (is_refusal && knows_load)
     }
 
     /// Returns why a request isn't sent to an upstream with a limit.
--- a/src/gateway/saturation.rs
+++ b/src/gateway/saturation.rs
@@ -61,6 +61,8 @@
     Demand,
     /// The directory's leader limited its requests to what it can serve.
     InferredLimit,
+    /// It resets new connections.
+    Connections,
 }
 
 impl Evidence {
@@ -70,6 +72,7 @@
             Evidence::LoadReport => "load report",
             Evidence::Demand => "demand",
             Evidence::InferredLimit => "inferred limit",
+            Evidence::Connections => "connections",
         }
     }
 }
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -15,6 +15,7 @@
 use crate::lock::lock;
 use crate::pace::LinkPacers;
 
+use super::attempt::RESET_WHEN_OPENED;
 use super::balance::{ProcessingMean, UpstreamLoad};
 use super::metrics::Metrics;
 use super::protocol::ResponseMetadata;
@@ -26,6 +27,10 @@
 /// and for hosts that join.
 const USABLE_CONNECTIONS_PERCENT: u32 = 80;
 
+/// How long after a reset new connections are expected to be reset as well, in milliseconds. Bursts that exhaust an
+/// upstream's connections last up to 7 s.
+const RESETS_EXPECTED_MS: u64 = 10_000;
+
 /// Processing time assumed for a service without samples, in milliseconds.
 pub const INITIAL_PROCESSING_MS: f64 = 90.0;
 
@@ -47,6 +52,8 @@
     is_withdrawn: AtomicBool,
     /// When the latest of the requests that it answered was sent, as a [`Mono`].
     answered_request_at: AtomicU64,
+    /// When it last reset a new connection, as a [`Mono`]; 0 if it never did.
+    reset_at: AtomicU64,
 }
 
 /// Processing times that weren't reported to the directory yet.
@@ -84,6 +91,17 @@
         Mono(self.answered_request_at.load(Ordering::Relaxed))
     }
 
+    /// Records that the upstream reset a new connection.
+    pub fn record_reset(&self, now: Mono) {
+        self.reset_at.store(now.0.max(1), Ordering::Relaxed);
+    }
+
+    /// Reports whether the upstream reset a new connection a short time ago.
+    pub fn resets_new_connections(&self, now: Mono) -> bool {
+        let reset_at = self.reset_at.load(Ordering::Relaxed);
+        reset_at > 0 && now.since(Mono(reset_at)) < RESETS_EXPECTED_MS
+    }
+
     /// Reports whether the upstream accepts requests, by its own responses and the directory.
     pub fn accepts_requests(&self, now: Mono) -> bool {
         !self.is_withdrawn.load(Ordering::Relaxed) && self.load().accepts_requests(now)
@@ -272,6 +290,23 @@
         }
     }
 
+    /// Records that an upstream reset a connection before the request that was to be sent on it at `sample`.
+    pub fn record_reset_when_opened(
+        &self,
+        client: &UpstreamClient,
+        sample: SendSample,
+        clock: &Clock,
+    ) {
+        let now = clock.now();
+        client.record_reset(now);
+        let entry_hosts = self.entry_hosts.load(Ordering::Relaxed);
+        let random = rand::random();
+        let verdict = client
+            .load()
+            .record_reset_when_opened(sample, entry_hosts, random, now);
+        self.record_verdict(client, RESET_WHEN_OPENED, verdict);
+    }
+
     fn record_verdict(&self, client: &UpstreamClient, reason: &str, verdict: Verdict) {
         match verdict {
             Verdict::Ejected => self.record_ejected(client, reason),
@@ -340,6 +375,7 @@
             unreported_processing: Mutex::default(),
             is_withdrawn: AtomicBool::new(false),
             answered_request_at: AtomicU64::new(0),
+            reset_at: AtomicU64::new(0),
         });
         by_id.insert(id.clone(), client.clone());
         client
