--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -279,6 +279,7 @@
             upstream: upstream.clone(),
             limit,
             age_ms: 0,
+            inferred: None,
         },
         is_observed,
         count: 4,
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -275,6 +275,7 @@
         upstream: upstream.clone(),
         limit,
         age_ms,
+        inferred: None,
     };
     let limit = RateLimit::from_per_s(6.0);
     let mut book = PermitBook::default();
