Derive only what changed in the leader's updates and renewals

Cause: with 3,000 upstreams and 300 entry hosts, each update looked up the last change of every upstream, each change of an owner or a move rebuilt the renewals of all ranges, and moves for load were planned over all owners every 150 ms.

Change: an update looks up only upstreams that changed; renewals are derived anew only for ranges that changed; above 1,000 ranges, moves for load and merges are planned less often, in proportion, 750 ms at most. Lost and leaving owners are looked for as often as before.

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -50,6 +50,10 @@
 const MOVES_MAX: usize = 24;
 /// The interval between two planning rounds, in milliseconds.
 const PLAN_INTERVAL_MS: u64 = 150;
+/// The number of ranges above which moves for load and merges are planned less often, in proportion.
+const RANGES_PER_PLAN_INTERVAL: usize = 500;
+/// The maximum factor of that interval. Runs of hot keys last a few seconds.
+const LOAD_PLAN_FACTOR_MAX: usize = 5;
 /// How long a single key that was moved for its load stays, in milliseconds. Each move leaves it without a
 /// reachable owner for about 200 ms, and a key too hot for any upstream always seems better placed elsewhere.
 const HOT_KEY_COOLDOWN_MS: u64 = 2_500;
@@ -91,6 +95,8 @@
     failures: u32,
     handover: Option<String>,
     granted: bool,
+    /// The last round in which the table of owners had this range.
+    synced_in: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -166,6 +172,8 @@
     renewals: BTreeMap<GrantId, Renewal>,
     /// The version of the owners that `moves` and `bounds` agree with.
     synced_owners: Option<u64>,
+    /// The number of times that `renewals` was derived from the state.
+    sync_round: u64,
     /// The state from which `renewals` was derived.
     synced_layout: Option<LayoutVersion>,
     /// The number of grants that may be sent now, in thousandths of a grant.
@@ -184,6 +192,8 @@
     discovered_at: BTreeMap<String, Mono>,
     last_call: CallId,
     planned_at: Mono,
+    /// When moves for load and merges were last planned.
+    loads_planned_at: Mono,
     decayed_at: Mono,
     initially_assigned: BTreeSet<String>,
     has_reissued_fences: bool,
@@ -203,6 +213,7 @@
             bounds: BTreeMap::new(),
             renewals: BTreeMap::new(),
             synced_owners: None,
+            sync_round: 0,
             synced_layout: None,
             grant_budget_milli: 0,
             budget_refilled_at: elected_at,
@@ -216,6 +227,7 @@
             discovered_at: BTreeMap::new(),
             last_call: CallId { term, number: 0 },
             planned_at: elected_at,
+            loads_planned_at: elected_at,
             decayed_at: elected_at,
             initially_assigned: BTreeSet::new(),
             has_reissued_fences: false,
@@ -271,7 +283,7 @@
             return output;
         }
         self.sync_with_table(state);
-        if now.since(self.decayed_at) >= PLAN_INTERVAL_MS {
+        if now.since(self.decayed_at) >= self.load_plan_interval_ms() {
             let elapsed_ms = now.since(self.decayed_at);
             self.rates.values_mut().for_each(|r| r.decay(elapsed_ms));
             self.speeds.decay(elapsed_ms);
@@ -284,13 +296,18 @@
         if plan_due {
             self.planned_at = now;
         }
+        let loads_due =
+            plan_due && now.since(self.loads_planned_at) >= self.load_plan_interval_ms();
+        if loads_due {
+            self.loads_planned_at = now;
+        }
         for (name, service) in &stored.config.services {
             if !service.sharded {
                 continue;
             }
             self.assign_gaps(name, state, now, &mut output);
             if plan_due {
-                self.plan_moves(name, state, now);
+                self.plan_moves(name, state, now, loads_due);
             }
         }
         self.advance_moves(state, now, may_call, &mut output);
@@ -298,17 +315,27 @@
         if may_call {
             self.renew(state, now, &mut output);
         }
-        if plan_due {
+        if loads_due {
             self.merge_neighbours(state, &mut output);
         }
         output
     }
 
+    /// Returns the interval between two rounds in which moves for load and merges are planned: the work of a
+    /// round grows with the number of ranges.
+    fn load_plan_interval_ms(&self) -> u64 {
+        let factor = self.renewals.len() / RANGES_PER_PLAN_INTERVAL;
+        PLAN_INTERVAL_MS * factor.clamp(1, LOAD_PLAN_FACTOR_MAX) as u64
+    }
+
     fn sync_with_table(&mut self, state: &State) {
-        if self.synced_owners == Some(state.versions.owners) {
+        // Each change of owner has a newer fencing token.
+        let newest = state.versions.owners;
+        let synced = self.synced_owners.replace(newest);
+        if synced == Some(newest) {
             return;
         }
-        self.synced_owners = Some(state.versions.owners);
+        let is_new = |r: &&KeyRange| synced.is_none_or(|synced| r.fence > synced);
         self.moves.retain(|m| {
             let table = state.owners.get(&m.service);
             let range = table.and_then(|t| t.owner_of(m.from));
@@ -317,7 +344,7 @@
         let elected_at = self.elected_at;
         let hold_ms = self.hold_ms;
         for table in state.owners.values() {
-            for range in table.ranges.values() {
+            for range in table.ranges.values().filter(is_new) {
                 if !self.bounds.contains_key(&range.owner) {
                     let bounds = inherited_bounds(hold_ms, elected_at);
                     self.bounds.insert(range.owner.clone(), bounds);
--- a/src/directory/lessor/grants.rs
+++ b/src/directory/lessor/grants.rs
@@ -28,49 +28,70 @@
         if self.synced_layout.as_ref() == Some(&layout) {
             return;
         }
-        let mut wanted_ranges: BTreeMap<GrantId, (Key, Incarnation)> = BTreeMap::new();
+        let moving: BTreeSet<u64> = self.moves.iter().map(|m| m.fence).collect();
+        let mut renewals: Vec<(GrantId, Renewal)> = Vec::new();
+        let mut kept = 0;
+        self.sync_round += 1;
         for (service, table) in &state.owners {
+            let mut grant_id = (service.clone(), 0, 0);
             for range in table.ranges.values() {
+                (grant_id.1, grant_id.2) = (range.fence, range.from);
+                let unchanged = match moving.contains(&range.fence) {
+                    false => self.renewals.get_mut(&grant_id),
+                    true => None,
+                };
+                if let Some(renewal) = unchanged.filter(|r| r.to == range.to) {
+                    renewal.synced_in = self.sync_round;
+                    kept += 1;
+                    continue;
+                }
                 for (from, to) in self.parts_not_moving(service, range) {
                     let grant_id = (service.clone(), range.fence, from);
-                    wanted_ranges.insert(grant_id, (to, range.owner.clone()));
+                    let renewal = self.derive_renewal(&grant_id, to, &range.owner, state, now);
+                    renewals.push((grant_id, renewal));
                 }
             }
         }
-        self.rebuild_renewals(wanted_ranges, state, now);
+        if kept < self.renewals.len() {
+            let round = self.sync_round;
+            self.renewals.retain(|_, r| r.synced_in == round);
+        }
+        self.renewals.extend(renewals);
         self.synced_layout = Some(layout);
     }
 
-    /// Rebuilds the renewals for `wanted_ranges`. A part that was split off a granted range keeps its renewal
-    /// time.
-    fn rebuild_renewals(
+    /// Returns the renewal of a range that is new or has other keys than before. A part that was split off a granted
+    /// range keeps its renewal time.
+    fn derive_renewal(
         &mut self,
-        wanted_ranges: BTreeMap<GrantId, (Key, Incarnation)>,
+        grant_id: &GrantId,
+        to: Key,
+        owner: &Incarnation,
         state: &State,
         now: Mono,
-    ) {
-        let previous = std::mem::take(&mut self.renewals);
-        for (grant_id, (to, owner)) in wanted_ranges {
-            let (service, fence, from) = &grant_id;
-            let within = previous.range((service.clone(), *fence, 0)..=grant_id.clone());
-            let parent = within.rev().find(|(_, r)| r.to >= *from);
-            let mut next = match parent {
-                Some((parent_id, parent)) => Renewal {
-                    in_flight: parent.in_flight && *parent_id == grant_id,
-                    ..parent.clone()
-                },
-                None => Renewal {
-                    to,
-                    owner,
-                    in_flight: false,
-                    next_at: now,
-                    failures: 0,
-                    handover: self.take_handover(service, *fence, *from, state),
-                    granted: false,
-                },
-            };
-            next.to = to;
-            self.renewals.insert(grant_id, next);
+    ) -> Renewal {
+        let (service, fence, from) = grant_id;
+        let within = self
+            .renewals
+            .range((service.clone(), *fence, 0)..=grant_id.clone());
+        let parent = within.rev().find(|(_, r)| r.to >= *from);
+        match parent {
+            Some((parent_id, parent)) => Renewal {
+                to,
+                in_flight: parent.in_flight && parent_id == grant_id,
+                synced_in: self.sync_round,
+                ..parent.clone()
+            },
+            None => Renewal {
+                to,
+                owner: owner.clone(),
+                in_flight: false,
+                next_at: now,
+                failures: 0,
+                handover: self.take_handover(service, *fence, *from, state),
+                granted: false,
+                synced_in: self.sync_round,
+            },
         }
     }
 
--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -18,8 +18,15 @@
         self.speeds.set_limits(limits);
     }
 
-    /// Starts moves away from owners that are leaving or lost, moves for load, and merges of small ranges.
-    pub(super) fn plan_moves(&mut self, service: &str, state: &State, now: Mono) {
+    /// Starts moves away from owners that are leaving or lost and, if `plans_loads` is true, moves for load and
+    /// merges of small ranges.
+    pub(super) fn plan_moves(
+        &mut self,
+        service: &str,
+        state: &State,
+        now: Mono,
+        plans_loads: bool,
+    ) {
         let Some(table) = state.owners.get(service) else {
             return;
         };
@@ -88,9 +95,12 @@
             ongoing_moves: &ongoing,
             recent_moves: &recent,
         };
-        let load_transfers = planner.transfers(room);
-        let room = room - load_transfers.len().min(room);
-        let mut merges = self.plan_merges(service, table, &candidates, room);
+        let (mut load_transfers, mut merges) = (Vec::new(), Vec::new());
+        if plans_loads {
+            load_transfers = planner.transfers(room);
+            let room = room - load_transfers.len().min(room);
+            merges = self.plan_merges(service, table, &candidates, room);
+        }
         merges.retain(|t| {
             load_transfers
                 .iter()
--- a/src/directory/renewals.rs
+++ b/src/directory/renewals.rs
@@ -214,13 +214,16 @@
         unfetched
     }
 
-    /// Returns the calls whose results didn't arrive in time.
+    /// Returns the calls whose results didn't arrive in time. They are repeated by the leader, since their grants end
+    /// soon.
     pub fn take_lost(&mut self, now: Mono) -> Vec<CallId> {
         let is_lost = |h: &HandedOut| now >= h.ends_at;
         let lost = self.handed_out.iter().filter(|(_, h)| is_lost(h));
         let lost: Vec<CallId> = lost.map(|(id, _)| *id).collect();
         for id in &lost {
             if let Some(handed_out) = self.handed_out.remove(id) {
+                let until = now.plus(OWN_CALLS_MS);
+                self.own_until.insert(handed_out.upstream, until);
                 self.pause_helper(&handed_out.host, now);
             }
         }
--- a/src/directory/state.rs
+++ b/src/directory/state.rs
@@ -267,15 +267,16 @@
         let versions = self.versions;
         let upstreams_complete =
             known.upstreams < self.last_forget_index || known.upstreams > versions.upstreams;
-        let is_new = |u: &&Upstream| {
-            let changed = self
-                .change_indexes
-                .get(&u.incarnation.id)
-                .copied()
-                .unwrap_or(0);
-            upstreams_complete || changed > known.upstreams
+        let upstreams = match upstreams_complete {
+            true => self.upstreams.values().cloned().collect(),
+            // Looks up only upstreams that changed: most updates have few of thousands.
+            false => {
+                let changes = self.change_indexes.iter();
+                let changed = changes.filter(|(_, index)| **index > known.upstreams);
+                let changed = changed.filter_map(|(id, _)| self.upstreams.get(id));
+                changed.cloned().collect()
+            }
         };
-        let upstreams = self.upstreams.values().filter(is_new).cloned().collect();
         let mut owners = Vec::new();
         for (service, table) in &self.owners {
             let newer = table.ranges.values().filter(|r| r.fence > known.owners);
