--- a/src/directory/lessor/moves.rs
+++ b/src/directory/lessor/moves.rs
@@ -18,8 +18,15 @@
         self.speeds.set_limits(limits);
     }
 
-    /// Starts moves away from owners that are leaving or lost, moves for load, and merges of small ranges.
-    pub(super) fn plan_moves(&mut self, service: &str, state: &State, now: Mono) {
+    /// Starts moves away from owners that are leaving or lost and, if `plans_loads` is true, moves for load and
+    /// merges of small ranges.
+    pub(super) fn plan_moves(
+        &mut self,
+        service: &str,
+        state: &State,
+        now: Mono,
+        plans_loads: bool,
+    ) {
         let Some(table) = state.owners.get(service) else {
             return;
         };
@@ -95,9 +102,12 @@
         let to_evacuate = self.ranges_to_evacuate(service, state, now);
         let evacuations = self.plan_evacuation(&planner, &to_evacuate, state);
         let room = self.room_beside_evacuations(room, &to_evacuate, now);
-        let load_transfers = planner.transfers(room);
-        let room = room - load_transfers.len().min(room);
-        let mut merges = self.plan_merges(service, table, &receivers, room);
+        let (mut load_transfers, mut merges) = (Vec::new(), Vec::new());
+        if plans_loads {
+            load_transfers = planner.transfers(room);
+            let room = room - load_transfers.len().min(room);
+            merges = self.plan_merges(service, table, &receivers, room);
+        }
         merges.retain(|t| {
             load_transfers
                 .iter()
