Assign initial keys to cold upstreams if few are warm; metrics and tests

Cause: upstreams that start together become warm within a heartbeat of each other, about when their keys are first assigned; the first few warm ones would get all keys. By reading, not seen.

Change: with fewer than half of the candidates warm, the initial assignment goes to all of them. Limits of cold upstreams are worked out only when the configuration or the upstreams change. Gauges of cold upstreams and late heartbeats at the leader.

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -355,7 +355,13 @@
             return;
         }
         let candidates = self.candidates(service, state, now);
-        let candidates: Vec<Incarnation> = self.receivers(&candidates, state).into_iter().collect();
+        let warm = self.receivers(&candidates, state);
+        // When all have just started, a few that are warm already couldn't serve all keys.
+        let are_most_warm = warm.len() * 2 >= candidates.len();
+        let candidates: Vec<Incarnation> = match are_most_warm {
+            true => warm.into_iter().collect(),
+            false => candidates.into_iter().collect(),
+        };
         if candidates.is_empty() {
             return;
         }
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -32,6 +32,8 @@
     config_version: Gauge,
     owners_version: Gauge,
     upstreams: Gauge,
+    cold_upstreams: Gauge,
+    late_heartbeats: Gauge,
     voters: Gauge,
     waiting: Gauge,
     lease_left: Gauge,
@@ -77,6 +79,8 @@
             config_version: Gauge::default(),
             owners_version: Gauge::default(),
             upstreams: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            late_heartbeats: Gauge::default(),
             voters: Gauge::default(),
             waiting: Gauge::default(),
             lease_left: Gauge::default(),
@@ -101,6 +105,9 @@
         self.config_version.set(state.config_version() as i64);
         self.owners_version.set(state.versions.owners as i64);
         self.upstreams.set(state.upstreams.len() as i64);
+        let (cold, late) = replica.cold_counts();
+        self.cold_upstreams.set(cold as i64);
+        self.late_heartbeats.set(late as i64);
         self.voters.set(raft.membership().voters.len() as i64);
         self.waiting.set(replica.pending_requests() as i64);
         self.lease_left.set(replica.lease_left_ms(now) as i64);
@@ -141,6 +148,16 @@
                 &self.owners_version,
             ),
             ("upstreams", "Registered upstreams", &self.upstreams),
+            (
+                "cold_upstreams",
+                "Cold upstreams with a limit for that reason, at the leader",
+                &self.cold_upstreams,
+            ),
+            (
+                "late_heartbeats",
+                "Heartbeats since the election that came after a newer one and left their upstreams cold",
+                &self.late_heartbeats,
+            ),
             (
                 "voters",
                 "Voters in the membership of the log",
--- a/src/directory/model.rs
+++ b/src/directory/model.rs
@@ -120,8 +120,10 @@
     /// Returns the requests per second that an upstream bears from all entry hosts together because it is cold,
     /// or `None` if it is warm or its service has no such limit.
     pub fn cold_limit(&self, upstream: &Upstream) -> Option<RateLimit> {
-        let service = self.services.get(&upstream.service);
-        service.filter(|_| upstream.is_cold)?.cold_limit
+        if !upstream.is_cold {
+            return None;
+        }
+        self.services.get(&upstream.service)?.cold_limit
     }
 }
 
--- a/src/directory/replica/cold.rs
+++ b/src/directory/replica/cold.rs
@@ -66,3 +66,12 @@
         }
     }
 }
+
+impl<S: Store, T> Replica<S, T> {
+    /// Returns the number of cold upstreams with a limit, and of late heartbeats that left their upstreams cold, while
+    /// this replica leads.
+    pub fn cold_counts(&self) -> (usize, u64) {
+        let leader_state = self.leader_state.as_ref();
+        leader_state.map_or((0, 0), |l| (l.permits.cold_count(), l.cold.late_heartbeats))
+    }
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -275,9 +275,12 @@
                 unconfirmed_ms: self.clock.now().since(before.confirmed_at),
             });
         }
-        let cold_limits = next.cold_limits();
-        let rate_limits = &self.clients.rate_limits;
-        rate_limits.set_cold_limits(&cold_limits, self.clock.now());
+        if next.versions.config != before.versions.config
+            || next.versions.upstreams != before.versions.upstreams
+        {
+            let rate_limits = &self.clients.rate_limits;
+            rate_limits.set_cold_limits(&next.cold_limits(), self.clock.now());
+        }
         self.view.send_replace(next.clone());
         if next.versions.upstreams != before.versions.upstreams {
             self.clients.sync_with_view(&next);
