--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -34,6 +34,8 @@
     upstreams: Gauge,
     evacuated_zones: Gauge,
     evacuations_version: Gauge,
+    cold_upstreams: Gauge,
+    late_heartbeats: Gauge,
     voters: Gauge,
     waiting: Gauge,
     lease_left: Gauge,
@@ -82,6 +84,8 @@
             upstreams: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuations_version: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            late_heartbeats: Gauge::default(),
             voters: Gauge::default(),
             waiting: Gauge::default(),
             lease_left: Gauge::default(),
@@ -110,6 +114,9 @@
         self.evacuated_zones.set(state.evacuated_zones.len() as i64);
         self.evacuations_version
             .set(state.versions.evacuations as i64);
+        let (cold, late) = replica.cold_counts();
+        self.cold_upstreams.set(cold as i64);
+        self.late_heartbeats.set(late as i64);
         self.voters.set(raft.membership().voters.len() as i64);
         self.waiting.set(replica.pending_requests() as i64);
         self.lease_left.set(replica.lease_left_ms(now) as i64);
@@ -162,6 +169,16 @@
                 "Log index of the newest change of the evacuated zones",
                 &self.evacuations_version,
             ),
+            (
+                "cold_upstreams",
+                "Cold upstreams with a limit for that reason, at the leader",
+                &self.cold_upstreams,
+            ),
+            (
+                "late_heartbeats",
+                "Heartbeats since the election that came after a newer one and left their upstreams cold",
+                &self.late_heartbeats,
+            ),
             (
                 "voters",
                 "Voters in the membership of the log",
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -279,15 +279,17 @@
             });
         }
         let has_new_upstreams = next.versions.upstreams != before.versions.upstreams;
+        let has_new_config = next.versions.config != before.versions.config;
         let has_new_evacuations = next.versions.evacuations != before.versions.evacuations;
         // Before the view is published: requests that wait for it use the limits and the clients at once.
-        let cold_limits = next.cold_limits();
-        let rate_limits = &self.clients.rate_limits;
-        rate_limits.set_cold_limits(&cold_limits, self.clock.now());
+        if has_new_config || has_new_upstreams {
+            let rate_limits = &self.clients.rate_limits;
+            rate_limits.set_cold_limits(&next.cold_limits(), self.clock.now());
+        }
         if has_new_upstreams || has_new_evacuations {
             self.clients.sync_with_view(&next);
         }
-        if has_new_upstreams || next.versions.config != before.versions.config {
+        if has_new_upstreams || has_new_config {
             self.unserved_routes.check(&next);
         }
         if has_new_evacuations {
