--- a/tests/allowed_regions.rs
+++ b/tests/allowed_regions.rs
@@ -356,8 +356,13 @@
 /// Returns a simulation with upstreams 0 to 3 in zone "a", 4 and 5 in "b", and 6 and 7 in a zone without a region.
 fn simulation(seed: u64, faults: Faults) -> Simulation {
     let mut sim = Simulation::new(seed, 8, faults);
-    for n in 4..8 {
-        sim.upstreams.list[n].zone = if n < 6 { "b" } else { "z" }.to_string();
+    for (n, upstream) in sim.upstreams.list.iter_mut().enumerate() {
+        let zone = match n {
+            0..4 => "a",
+            4 | 5 => "b",
+            _ => "z",
+        };
+        upstream.zone = zone.to_string();
     }
     sim.run(2_500);
     sim
