--- a/src/event.rs
+++ b/src/event.rs
@@ -107,11 +107,9 @@
     167 Info RateLimitedTraffic "Requests of this host for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, sent: u64, permits: u64, refused: u64 }
     168 Warning PermitsUnanswered "The directory's leader doesn't answer requests for permits; requests that only upstreams with a rate limit may run are refused." { waited_ms: u64 }
     169 Info ColdUpstreamsChanged "Upstreams with a limit for cold ones became cold or warm for this host; a few of each are named." { cold: u64, became_cold: u64, became_warm: u64, names: String, warm_names: String }
-    270 Info UpstreamFull "An upstream had no free capacity for a request and gets no new ones of this host for a while; it isn't ejected." { upstream: String, evidence: String, hold_ms: u64 }
     170 Warning PeerRefused "A process without a certificate of the deployment was refused." { address: String, reason: String }
     171 Warning PeerUnreachable "A process can't be reached." { host: String, reason: String }
     172 Warning MessageRefused "A message from another process couldn't be read." { reason: String }
-    271 Info InferredLimitChanged "The directory's leader limits the requests for an upstream to what it can serve; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64 }
     200 Info RoutesDecided "A route configuration was decided." { version: u64, routes: u64 }
     201 Warning RoutesRefused "A route configuration was refused; nothing changed." { reason: String }
     202 Info RoutesInForce "A route configuration is in force on an entry host." { version: u64, routes: u64, before: u64, unconfirmed_ms: u64 }
@@ -129,7 +127,6 @@
     214 Info PermitsIssued "Permits for an upstream with a rate limit since the previous event of this kind." { upstream: String, over_ms: u64, milli_per_s: u64, issued: u64, refused: u64 }
     215 Info ColdnessChanged "An upstream with a limit for cold ones became cold or warm, by the registration with this sequence number; 0 means none." { upstream: String, born_ms: u64, is_cold: bool, sequence: u64, milli_per_s: u64 }
     220 Warning RequestFailed "A request ended without a complete answer from an upstream." { request: String, route: String, service: String, key: Option<u16>, status: u16, reason: String, retry_after_ms: Option<u64>, patience_ms: u64, objective_ms: u64, before_ms: u64, upstreams: String, considered: Option<String>, expected_ms: Option<u64>, way_ms: u64, load_age_ms: Option<u64>, service_time_percent: Option<u64>, owner_wait_ms: u64, waited_ms: u64, config: u64, owners: u64, age_ms: u64 }
-    272 Info LimitInferred "The leader limits the requests for an owner of keys to what it can serve, since more come; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, demand_milli_per_s: u64 }
     221 Warning AttemptFailed "An attempt to get an answer from one upstream failed." { request: String, upstream: String, fence: u64, reason: String, sent: bool, expected_ms: u64, load_age_ms: Option<u64>, waited_ms: u64 }
     222 Warning RequestsUnlogged "Events about requests were omitted to bound the log." { count: u64 }
     223 Info SettingsChanged "The settings file changed and was reloaded." { seeds: String }
@@ -163,6 +160,9 @@
     262 Warning RoutesUnserved "The set of routes changed that have no ready upstream in their allowed regions; this entry host refuses their requests." { count: u64, routes: String, config: u64 }
     263 Warning LoadFigureIgnored "An upstream reported a service time in percent of the usual that is out of range; such figures of this process are ignored, and only the first is logged." { upstream: String, percent: u64 }
     264 Warning ResponsesUnread "Callers' connections were ended since the previous traffic summary because they left a response unread." { count: u64 }
+    270 Info UpstreamFull "An upstream had no free capacity for a request and gets no new ones of this host for a while; it isn't ejected." { upstream: String, evidence: String, hold_ms: u64 }
+    271 Info InferredLimitChanged "The directory's leader limits the requests for an upstream to what it can serve; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64 }
+    272 Info LimitInferred "The leader limits the requests for an owner of keys to what it can serve, since more come; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, demand_milli_per_s: u64 }
 }
 
 /// An event with its time and host.
