Ask one function whether an upstream is in a set of regions

Cause: the choice of owners, its log and the entry hosts' view of an owner's place each had the same closure over the zones' regions.

Change: directory::regions::is_in_regions serves the three. Behaviour is unchanged.

--- a/src/directory/lessor/regions.rs
+++ b/src/directory/lessor/regions.rs
@@ -3,7 +3,7 @@
 use crate::event::Event;
 
 use super::super::model::{RouteConfig, Upstream};
-use super::super::regions::{common_regions, eligible_owners, RegionsByZone};
+use super::super::regions::{common_regions, eligible_owners, is_in_regions, RegionsByZone};
 use super::*;
 
 /// The maximum number of names that an event lists.
@@ -69,10 +69,7 @@
     ) {
         let Some(stored) = &state.config else { return };
         let chosen = common_regions(&stored.config, service).map(|common| {
-            let is_inside = |u: &Upstream| {
-                let region = self.regions.by_zone.get(&u.zone);
-                region.is_some_and(|r| common.contains(r.as_str()))
-            };
+            let is_inside = |u: &Upstream| is_in_regions(u, &self.regions.by_zone, &common);
             let eligible = self.eligible_upstreams(service, state, now);
             ChosenRegions {
                 has_upstreams: eligible.into_iter().any(is_inside),
--- a/src/directory/regions.rs
+++ b/src/directory/regions.rs
@@ -46,6 +46,16 @@
     common
 }
 
+/// Reports whether an upstream is in one of `regions`. One whose region isn't known is in none.
+pub fn is_in_regions(
+    upstream: &Upstream,
+    regions_by_zone: &RegionsByZone,
+    regions: &BTreeSet<&str>,
+) -> bool {
+    let region = regions_by_zone.get(&upstream.zone);
+    region.is_some_and(|r| regions.contains(r.as_str()))
+}
+
 /// Returns those of the `eligible` upstreams of a service that should own its keys: the ones in regions that
 /// every route to it allows, or all of them if that leaves none.
 pub fn eligible_owners<'u>(
@@ -57,10 +67,7 @@
     let Some(regions) = common_regions(config, service) else {
         return eligible;
     };
-    let is_inside = |u: &Upstream| {
-        let region = regions_by_zone.get(&u.zone);
-        region.is_some_and(|r| regions.contains(r.as_str()))
-    };
+    let is_inside = |u: &Upstream| is_in_regions(u, regions_by_zone, &regions);
     if eligible.iter().any(|u| is_inside(u)) {
         eligible.retain(|u| is_inside(u));
     }
--- a/src/gateway/allowed_regions.rs
+++ b/src/gateway/allowed_regions.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Mono;
 use crate::directory::model::{Key, Route, Upstream};
-use crate::directory::regions::{common_regions, RegionsByZone};
+use crate::directory::regions::{common_regions, is_in_regions, RegionsByZone};
 use crate::event::{Event, Recorder};
 use crate::lock::lock;
 
@@ -122,10 +122,7 @@
             return OwnerPlace::Allowed;
         }
         let common = common_regions(&view.config, req.service).unwrap_or_default();
-        let is_inside = |u: &Upstream| {
-            let region = self.state.regions_by_zone.get(&u.zone);
-            region.is_some_and(|r| common.contains(r.as_str()))
-        };
+        let is_inside = |u: &Upstream| is_in_regions(u, &self.state.regions_by_zone, &common);
         let mut ready = view.ready_upstreams(req.service).iter();
         let is_followed = now.since(view.confirmed_at) <= MOVE_EXPECTED_VIEW_AGE_MS;
         match is_followed && !is_inside(owner) && ready.any(is_inside) {
