Infer limits when counts have decayed, not between (full upstreams)

Cause: with 1,000 ranges and more, counts by key decay once in 300 to 750 ms, but limits were inferred every 150 ms. Between two decays the demand read up to a third too high, and an owner that could serve nearly all of it got a limit; the demand was also computed up to five times from the same counts.

Change: limits are inferred once after each round of load plans. With fewer ranges the rounds are the same as before.

Result: the new test failed before (a demand of 133 a second read as 150, limit 106) and passes; owner_demands 4, full_owners 3, inferred_limits 4 pass.

--- a/src/directory/lessor.rs
+++ b/src/directory/lessor.rs
@@ -198,7 +198,7 @@
     rates: BTreeMap<String, KeyRates>,
     speeds: Speeds,
     inferred_limits: InferredLimits,
-    /// The planning round after which limits were inferred last.
+    /// The round of load plans after which limits were inferred last.
     inferred_at: Mono,
     /// When each service first had an upstream that may own keys.
     discovered_at: BTreeMap<String, Mono>,
--- a/src/directory/lessor/demand.rs
+++ b/src/directory/lessor/demand.rs
@@ -8,10 +8,11 @@
 const SLOWNESS_MAX: f64 = 3.0;
 
 impl Lessor {
-    /// Infers limits for owners that get more requests than they can serve, once after each planning round. Returns
-    /// those that changed.
+    /// Infers limits for owners that get more requests than they can serve, once after each round of load plans, in
+    /// which the counts have just decayed. Returns those that changed.
     pub fn infer_limits(&mut self, state: &State, now: Mono) -> Vec<LimitChange> {
-        if std::mem::replace(&mut self.inferred_at, self.planned_at) == self.planned_at {
+        if std::mem::replace(&mut self.inferred_at, self.loads_planned_at) == self.loads_planned_at
+        {
             return Vec::new();
         }
         let demands = self.owner_demands(state, now);
--- a/tests/owner_demands.rs
+++ b/tests/owner_demands.rs
@@ -153,6 +153,39 @@
     assert!(first.capacity_per_s >= lowest, "{first:?}");
 }
 
+/// With many ranges, counts decay less often than planning rounds come. A demand that was read between two decays
+/// appeared higher than it is, and an owner that could nearly serve it got a limit.
+#[test]
+fn a_demand_near_the_capacity_infers_no_limit_however_many_ranges_there_are() {
+    const SPLIT_RANGES: u16 = 2_400;
+    // 6 slots at 51 ms serve 118 a second; 20 requests in each step are 133.
+    const QUICK_MS: u32 = 51;
+    let mut leadership = Leadership::new();
+    for n in 0..SPLIT_RANGES {
+        let key = 20_000 + 2 * n;
+        let command = Command::Assign {
+            service: SERVICE.to_string(),
+            from: key,
+            to: key,
+            owner: upstream(2).incarnation,
+        };
+        leadership.state.apply(100 + u64::from(n), command);
+    }
+    let mut changes = Vec::new();
+    for _ in 0..40 {
+        for n in 1..=3 {
+            leadership.report_speed(n, QUICK_MS);
+        }
+        leadership.report_counts(&[(7, 20)]);
+        // A leader with its lease derives the renewals, whose number sets the interval of load plans.
+        leadership
+            .lessor
+            .step(&leadership.state, leadership.now, true);
+        changes.extend(leadership.plan());
+    }
+    assert_eq!(changes, []);
+}
+
 #[test]
 fn nothing_is_inferred_without_measured_times() {
     let mut leadership = Leadership::new();
