--- a/src/directory/replica.rs
+++ b/src/directory/replica.rs
@@ -6,6 +6,7 @@
 
 mod cold;
 mod leader;
+mod snapshot;
 mod types;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -30,6 +31,7 @@
 use super::renewals::SharedRenewals;
 use super::state::{Command, State, Versions};
 use super::trials::Trials;
+use snapshot::decode_state;
 use types::{Change, LeaderState, PendingAck, PendingRequest, Watcher};
 pub use types::{Input, Output, StartOptions};
 
@@ -478,27 +480,4 @@
             departure_ages: DepartureAges::default(),
         });
     }
-
-    fn compact(&mut self) -> Result<(), Report<StorageError>> {
-        if !self.store.is_snapshot_due() {
-            return Ok(());
-        }
-        let snapshot = self.raft.compact(encode(&self.state));
-        let rest = self.raft.log().slice(snapshot.index + 1, usize::MAX);
-        self.store.save_snapshot(&snapshot, &rest)?;
-        self.output.events.push(Event::SnapshotTaken {
-            cell: LOG_NAME.to_string(),
-            index: snapshot.index,
-            bytes: snapshot.data.len() as u64,
-        });
-        Ok(())
-    }
-}
-
-fn decode_state(log: &Log) -> State {
-    let data = &log.snapshot().data;
-    if data.is_empty() {
-        return State::default();
-    }
-    decode(data).expect("a snapshot with a valid checksum decodes")
 }
