List names in events with one function

Cause: three parts and the leader's event of hosts without a change each cut a list of names to eight and joined it.

Change: event::list_names serves the four; the texts stay the same.

--- a/src/directory/lessor/regions.rs
+++ b/src/directory/lessor/regions.rs
@@ -1,14 +1,11 @@
 //! The regions in which owners of keys are chosen.
 
-use crate::event::Event;
+use crate::event::{list_names, Event};
 
 use super::super::model::{RouteConfig, Upstream};
 use super::super::regions::{common_regions, eligible_owners, is_in_regions, RegionsByZone};
 use super::*;
 
-/// The maximum number of names that an event lists.
-const NAMES_LOGGED_MAX: usize = 8;
-
 /// The regions of upstreams, and what was logged about them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OwnerRegions {
@@ -81,7 +78,7 @@
         }
         output.events.push(Event::OwnerRegionsChanged {
             service: service.to_string(),
-            regions: join_names(chosen.iter().flat_map(|c| c.common.iter().cloned())),
+            regions: list_names(chosen.iter().flat_map(|c| c.common.iter().cloned()), "; "),
             is_restricted: chosen.is_some(),
             has_upstreams: chosen.as_ref().is_none_or(|c| c.has_upstreams),
             config: stored.config.version,
@@ -113,7 +110,7 @@
         let names = without.iter().map(|(route, r)| format!("{route}: {r}"));
         output.events.push(Event::RegionsWithoutUpstreams {
             count: without.len() as u64,
-            regions: join_names(names),
+            regions: list_names(names, "; "),
             config: stored.config.version,
         });
         self.regions.without_upstreams = without;
@@ -143,9 +140,3 @@
         .map(|(route, region)| (route.name.clone(), region.clone()))
         .collect()
 }
-
-/// Joins names for an event; further ones are left out.
-fn join_names(names: impl Iterator<Item = String>) -> String {
-    let listed: Vec<String> = names.take(NAMES_LOGGED_MAX).collect();
-    listed.join("; ")
-}
--- a/src/directory/replica/leader.rs
+++ b/src/directory/replica/leader.rs
@@ -1,6 +1,7 @@
 //! The work of a leader: its lease, grants, membership changes and replies.
 
 use super::*;
+use crate::event::list_names;
 use crate::rate_limit::RateLimit;
 
 use super::super::lessor::{Call, CallResult};
@@ -18,8 +19,6 @@
 /// How long an upstream gets no permits once a limit was inferred, in milliseconds: it has a queue from before the
 /// entry hosts knew of the limit, and gives away keys only after the work on them has ended.
 const BACKLOG_PAUSE_MS: u64 = 1_000;
-/// The maximum number of hosts that an event names.
-const HOSTS_LOGGED_MAX: usize = 8;
 
 /// The versions of the state, the rate limits and the suspected requests that a host has.
 type KnownVersions = (Versions, u64, u64);
@@ -78,9 +77,8 @@
     fn acked_without_hosts_event(&self, ack: &PendingAck<T>, now: Mono) -> Event {
         let lacks = |w: &Watcher| !ack.change.is_covered_by(&w.known_versions);
         let lacking = self.watchers.iter().filter(|(_, w)| lacks(w));
-        let mut names: Vec<&str> = lacking.map(|(name, _)| name.as_str()).collect();
+        let names: Vec<String> = lacking.map(|(name, _)| name.clone()).collect();
         let hosts = names.len() as u64;
-        names.truncate(HOSTS_LOGGED_MAX);
         let (change, version) = match ack.change {
             Change::Upstreams(index) => ("upstreams", index),
             Change::Config(version) => ("config", version),
@@ -91,7 +89,7 @@
             version,
             waited_ms: ACK_TIMEOUT_MS + now.since(ack.deadline),
             hosts,
-            names: names.join(","),
+            names: list_names(names, ","),
             leads_for_ms: now.since(self.elected_at),
         }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -165,6 +165,24 @@
     272 Info LimitInferred "The leader limits the requests for an owner of keys to what it can serve, since more come; 0 means none." { upstream: String, from_milli_per_s: u64, to_milli_per_s: u64, demand_milli_per_s: u64 }
 }
 
+/// The maximum number of names that an event lists.
+const NAMES_LISTED_MAX: usize = 8;
+
+/// Joins names for a field of an event; further ones than the first eight are left out.
+///
+/// # Examples
+///
+/// ```
+/// use carobreel::event::list_names;
+///
+/// let names = (1..=9).map(|n| n.to_string());
+/// assert_eq!(list_names(names, ","), "1,2,3,4,5,6,7,8");
+/// ```
+pub fn list_names(names: impl IntoIterator<Item = String>, separator: &str) -> String {
+    let listed: Vec<String> = names.into_iter().take(NAMES_LISTED_MAX).collect();
+    listed.join(separator)
+}
+
 /// An event with its time and host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EventRecord {
--- a/src/gateway/allowed_regions.rs
+++ b/src/gateway/allowed_regions.rs
@@ -9,7 +9,7 @@
 use crate::clock::Mono;
 use crate::directory::model::{Key, Route, Upstream};
 use crate::directory::regions::{common_regions, is_in_regions, RegionsByZone};
-use crate::event::{Event, Recorder};
+use crate::event::{list_names, Event, Recorder};
 use crate::lock::lock;
 
 use super::caller_request::{host_of, CallerRequest, Failure};
@@ -31,8 +31,6 @@
 /// The age of the view up to which a move of keys into the allowed regions is expected, in milliseconds. Without
 /// a leader no keys move, and a host without contact wouldn't learn of it.
 const MOVE_EXPECTED_VIEW_AGE_MS: u64 = 2_000;
-/// The maximum number of names that an event lists.
-const NAMES_LOGGED_MAX: usize = 8;
 
 /// Reports whether a route allows an upstream.
 pub fn allows_upstream(
@@ -188,10 +186,9 @@
         }
         self.metrics.routes_unserved.set(unserved.len() as i64);
         let names = unserved.iter().map(|(route, s)| format!("{route}/{s}"));
-        let names: Vec<String> = names.take(NAMES_LOGGED_MAX).collect();
         self.recorder.record(Event::RoutesUnserved {
             count: unserved.len() as u64,
-            routes: names.join("; "),
+            routes: list_names(names, "; "),
             config: view.versions.config,
         });
         *logged = unserved;
--- a/src/gateway/permit_book/cold.rs
+++ b/src/gateway/permit_book/cold.rs
@@ -2,9 +2,7 @@
 //! them, and sends these upstreams nothing once its permits are over.
 
 use super::*;
-
-/// The maximum number of upstreams that an event names.
-const NAMES_LOGGED_MAX: usize = 8;
+use crate::event::list_names;
 
 impl LimitedUpstream {
     /// Reports whether a permit allows a request now. Permits from before the upstream became cold aren't spaced for
@@ -62,12 +60,8 @@
             cold: limits.len() as u64,
             became_cold: became_cold.len() as u64,
             became_warm: became_warm.len() as u64,
-            names: names(&became_cold),
-            warm_names: names(&became_warm),
+            names: list_names(became_cold, ","),
+            warm_names: list_names(became_warm, ","),
         })
     }
 }
-
-fn names(ids: &[String]) -> String {
-    ids[..ids.len().min(NAMES_LOGGED_MAX)].join(",")
-}
