--- a/review/lab2.rs
+++ b/review/lab2.rs
@@ -55,6 +55,7 @@
         "uploads" => run_uploads(&record, with_trouble),
         "split" => run_deadly(&record, with_trouble, Deadly::AtEachService),
         "stream" => run_deadly(&record, with_trouble, Deadly::WhileAnswering),
+        "cold" => run_cold(&record, with_trouble),
         "silent" => run_deadly(&record, with_trouble, Deadly::Silently),
         _ => Err(format!("there is no case {case}")),
     };
@@ -594,6 +595,15 @@
         self.kill();
     }
 
+    /// Tells the worker that it is cold from now on.
+    fn make_cold(&self) {
+        if let Some(child) = self.child.lock().unwrap().as_mut() {
+            if let Some(stdin) = child.stdin.as_mut() {
+                let _ = stdin.write_all(b"cold\n").and_then(|()| stdin.flush());
+            }
+        }
+    }
+
     fn kill(&self) {
         if let Some(child) = self.child.lock().unwrap().as_mut() {
             let _ = child.kill();
@@ -617,6 +627,8 @@
     mode: String,
     operators: Vec<SocketAddr>,
     running: AtomicUsize,
+    /// Until when the worker is cold.
+    cold_until: Mutex<Option<Instant>>,
 }
 
 const WORKER_SLOTS: usize = 3;
@@ -638,10 +650,17 @@
             .filter_map(|a| a.parse().ok())
             .collect(),
         running: AtomicUsize::new(0),
+        cold_until: Mutex::new(None),
     });
     let listener = TcpListener::bind(&worker.address).expect("the worker's address is free");
-    thread::spawn(|| {
-        let _ = std::io::stdin().read(&mut [0]);
+    let watching = worker.clone();
+    thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            if line == "cold" {
+                *watching.cold_until.lock().unwrap() = Some(Instant::now() + COLD_TIME);
+                say("is cold");
+            }
+        }
         std::process::exit(0);
     });
     let announcing = worker.clone();
@@ -663,10 +682,12 @@
         let mut sequence = 0;
         loop {
             sequence += 1;
+            let cold_ms = self.cold_remaining().as_millis();
             let body = format!(
-                r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{WORKER_SLOTS},"state":"ready","coldRemaining":"0ms","sequence":{sequence},"born":{born}}}"#,
+                r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{WORKER_SLOTS},"state":"ready","coldRemaining":"{cold_ms}ms","sequence":{sequence},"born":{born}}}"#,
                 self.service, self.address, self.zone
             );
+            let mut is_acked = false;
             for _ in 0..self.operators.len() {
                 let address = self.operators[target % self.operators.len()];
                 let head = format!(
@@ -676,14 +697,29 @@
                 );
                 let answer = send_once(address, &head, body.as_bytes(), Duration::from_secs(1));
                 if answer.status == Some(200) && answer.is_complete {
+                    is_acked = true;
                     break;
                 }
                 target += 1;
             }
-            thread::sleep(HEARTBEAT);
+            // A change of coldness is told at once, and a heartbeat that nobody acknowledged is sent again soon.
+            let pause = if is_acked { HEARTBEAT } else { HEARTBEAT / 8 };
+            let until = Instant::now() + pause;
+            let was_cold = cold_ms > 0;
+            while Instant::now() < until && was_cold == !self.cold_remaining().is_zero() {
+                thread::sleep(Duration::from_millis(5));
+            }
         }
     }
 
+    /// Returns for how much longer the worker is cold.
+    fn cold_remaining(&self) -> Duration {
+        let until = *self.cold_until.lock().unwrap();
+        until.map_or(Duration::ZERO, |at| {
+            at.saturating_duration_since(Instant::now())
+        })
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().expect("a socket can be cloned");
@@ -848,14 +884,61 @@
     Ok(())
 }
 
+/// Clients of other requests, which can't be repeated: what they lose when a worker ends.
+struct OtherClients {
+    is_stopped: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<(usize, usize)>>,
+}
+
+const OTHER_CLIENTS: u8 = 9;
+
+impl OtherClients {
+    fn start(deployment: &Deployment, gateways: u8, record: &Record) -> OtherClients {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let threads = (0..OTHER_CLIENTS).map(|n| {
+            let (callers, record) = (deployment.callers(1 + n % gateways), record.clone());
+            let is_stopped = is_stopped.clone();
+            thread::spawn(move || {
+                let (mut sent, mut failed) = (0, 0);
+                while !is_stopped.load(Ordering::SeqCst) {
+                    let id = request_id();
+                    let head = format!(
+                        "POST /filings/usual HTTP/1.1\r\nHost: {HOST_NAME}\r\nCarobreel-Request-Id: {id}\r\nCarobreel-Deadline-Ms: 1000\r\nContent-Length: 4\r\n\r\n"
+                    );
+                    let answer = send_once(callers, &head, b"form", Duration::from_secs(2));
+                    sent += 1;
+                    // A refusal isn't a failure: the request has not run.
+                    if !matches!(answer.status, Some(200 | 503)) {
+                        failed += 1;
+                        record.line(&format!("client gets for {id} /filings/usual: {}", answer.text()));
+                    }
+                    thread::sleep(Duration::from_millis(50));
+                }
+                (sent, failed)
+            })
+        });
+        OtherClients {
+            threads: threads.collect(),
+            is_stopped,
+        }
+    }
+
+    /// Returns how many requests were sent and how many failed.
+    fn stop(self) -> (usize, usize) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        let counts = self.threads.into_iter().map(|t| t.join().unwrap_or((0, 0)));
+        counts.fold((0, 0), |(sent, failed), (s, f)| (sent + s, failed + f))
+    }
+}
+
 /// Retries of a request that may reach workers later than `contact` after its third crash.
 const RETRIES_ALLOWED: usize = 3;
 /// How often the deadly request comes again, and at which interval.
 const DEADLY_REQUESTS: usize = 12;
 const DEADLY_INTERVAL: Duration = Duration::from_millis(3_000);
 /// The same where it is divided among several services.
-const SPLIT_REQUESTS: usize = 20;
-const SPLIT_INTERVAL: Duration = Duration::from_millis(4_200);
+const SPLIT_REQUESTS: usize = 27;
+const SPLIT_INTERVAL: Duration = Duration::from_millis(3_500);
 
 fn run_deadly(record: &Record, with_trouble: bool, deadly: Deadly) -> Result<Verdict, Failure> {
     let gateways = 3;
@@ -870,10 +953,15 @@
         Deadly::Silently => ("crash_silent", "/packs/deadly"),
     };
     let mode = if with_trouble { mode } else { "sound" };
+    // A silent worker is back after the route's timeout, so that its end breaks no connection that is still waited on.
+    let back_after = match deadly {
+        Deadly::Silently => Duration::from_millis(3_000),
+        Deadly::AtEachService | Deadly::WhileAnswering => Duration::from_millis(2_000),
+    };
     for (n, service) in services.iter().enumerate() {
         for k in 0..4 {
             let host = 11 + 4 * n as u8 + k;
-            deployment.start_worker(service, host, mode, Duration::from_millis(2_000));
+            deployment.start_worker(service, host, mode, back_after);
         }
     }
     let targets: Vec<String> = services
@@ -881,13 +969,14 @@
         .map(|s| format!(r#"{{"service":"{s}","weight":30}}"#))
         .collect();
     let route = format!(
-        r#"{{"name":"dossie","hostname":"{HOST_NAME}","pathPrefix":"/packs/","kind":"download","timeout":"2000ms","targetLatency":"400ms","priority":2,"trafficSplit":[{}],"maxAttempts":2}}"#,
+        r#"{{"name":"pedido","hostname":"{HOST_NAME}","pathPrefix":"/filings/","kind":"non_idempotent","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"arquivo","maxAttempts":2}},{{"name":"dossie","hostname":"{HOST_NAME}","pathPrefix":"/packs/","kind":"download","timeout":"2000ms","targetLatency":"400ms","priority":2,"trafficSplit":[{}],"maxAttempts":2}}"#,
         targets.join(",")
     );
     deployment.configure(&document(&route, services))?;
     wait_until_served(&deployment, gateways, "/packs/usual")?;
     // The deployment is in steady state: the core has been stable for longer than `contact`.
     thread::sleep(2 * CONTACT);
+    let others = OtherClients::start(&deployment, gateways, record);
     let (requests, interval) = match deadly {
         Deadly::AtEachService => (SPLIT_REQUESTS, SPLIT_INTERVAL),
         Deadly::WhileAnswering | Deadly::Silently => (DEADLY_REQUESTS, DEADLY_INTERVAL),
@@ -904,20 +993,9 @@
             Duration::from_secs(4),
         );
         record.line(&format!("client gets for {id}: {}", answer.text()));
-        let other = request_id();
-        let head = get_head("/packs/usual", &other, 1_000);
-        let usual = send_once(
-            deployment.callers(gateway),
-            &head,
-            b"",
-            Duration::from_secs(2),
-        );
-        record.line(&format!(
-            "client gets for {other} /packs/usual: {}",
-            usual.text()
-        ));
         thread::sleep(interval);
     }
+    let (sent, failed) = others.stop();
     let mut crashes: Vec<Instant> = Vec::new();
     let mut runs: Vec<Instant> = Vec::new();
     for worker in &deployment.workers {
@@ -933,7 +1011,7 @@
     crashes.sort();
     if !with_trouble {
         let text = format!(
-            "{} of {requests} requests ran, {} crashes",
+            "{} of {requests} requests ran, {} crashes; {failed} of {sent} other requests failed",
             runs.len(),
             crashes.len()
         );
@@ -951,7 +1029,7 @@
     };
     let late = runs.iter().filter(|at| **at > *third + CONTACT).count();
     let text = format!(
-        "{} crashes; {late} runs later than contact after the third, {RETRIES_ALLOWED} are allowed",
+        "{} crashes; {late} runs later than contact after the third, {RETRIES_ALLOWED} are allowed; {failed} of {sent} other requests failed",
         crashes.len()
     );
     Ok(Verdict {
@@ -1099,3 +1177,91 @@
     let resident = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
     resident.split_whitespace().next()?.parse().ok()
 }
+
+/// How long a cold worker stays cold, as `coldStart` of the desired state says.
+const COLD_TIME: Duration = Duration::from_millis(3_000);
+/// Requests a second that a cold worker bears, and the bounds `coldOvershoot` and `coldSlack`.
+const COLD_PER_S: f64 = 3.7;
+const COLD_OVERSHOOT: f64 = 1.5;
+const COLD_SLACK: f64 = 8.0;
+/// Clients of the service; each asks again shortly after its answer.
+const COLD_CLIENTS: u8 = 10;
+
+fn run_cold(record: &Record, with_trouble: bool) -> Result<Verdict, Failure> {
+    let gateways = 3;
+    let mut deployment = Deployment::start(record, gateways)?;
+    // All are in one zone, so that each gets a third of the requests.
+    for host in [12, 16, 20] {
+        deployment.start_worker("offers", host, "sound", Duration::from_millis(2_000));
+    }
+    let service = r#"{"name":"offers","healthPath":"/health","maxConnections":580,"protocol":"h1","tls":false,"coldStart":"3s","coldPerS":3.7}"#;
+    let document = format!(
+        r#"{{"version":"r1","routes":[{{"name":"offer-status","hostname":"{HOST_NAME}","pathPrefix":"/offers/","kind":"idempotent","timeout":"2500ms","targetLatency":"1000ms","priority":2,"service":"offers","maxAttempts":2,"allowedRegions":[]}}],"services":[{service}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}"#
+    );
+    deployment.configure(&document)?;
+    wait_until_served(&deployment, gateways, "/offers/usual")?;
+    let is_stopped = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..COLD_CLIENTS)
+        .map(|n| {
+            let (callers, is_stopped) = (deployment.callers(1 + n % gateways), is_stopped.clone());
+            thread::spawn(move || {
+                let mut counts = BTreeMap::new();
+                while !is_stopped.load(Ordering::SeqCst) {
+                    let head = get_head("/offers/usual", &request_id(), 2_500);
+                    let answer = send_once(callers, &head, b"", Duration::from_secs(3));
+                    *counts.entry(answer.status).or_insert(0) += 1;
+                    thread::sleep(Duration::from_millis(30));
+                }
+                counts
+            })
+        })
+        .collect();
+    thread::sleep(2 * CONTACT);
+    if with_trouble {
+        for n in 1..=DIRECTORIES {
+            let name = format!("directory-{n}");
+            record.line(&format!("platform: {name} is killed"));
+            let mut child = deployment.processes.remove(&name).unwrap();
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    let worker = deployment.workers[0].clone();
+    worker.make_cold();
+    let cold_at = Instant::now();
+    if with_trouble {
+        thread::sleep(Duration::from_millis(700));
+        for n in 1..=DIRECTORIES {
+            deployment.spawn("directory", n)?;
+        }
+    }
+    thread::sleep(COLD_TIME.saturating_sub(cold_at.elapsed()));
+    let cold_until = Instant::now();
+    is_stopped.store(true, Ordering::SeqCst);
+    let mut answers: BTreeMap<Option<u16>, usize> = BTreeMap::new();
+    for client in clients {
+        for (status, count) in client.join().map_err(|_| "a client failed".to_string())? {
+            *answers.entry(status).or_default() += count;
+        }
+    }
+    let runs = worker.runs.lock().unwrap();
+    let is_cold = |at: &Instant| *at >= cold_at && *at < cold_until;
+    let runs: Vec<Instant> = runs.iter().map(|(at, _)| *at).filter(is_cold).collect();
+    let in_second = |first: &Instant| {
+        let span = Duration::from_secs(1);
+        runs.iter()
+            .filter(|at| **at >= *first && **at - *first < span)
+            .count()
+    };
+    let most = runs.iter().map(in_second).max().unwrap_or(0);
+    let bound = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK;
+    let text = format!(
+        "the cold worker got {} requests in {COLD_TIME:?}, at most {most} in one second, {bound:.2} are allowed; answers {answers:?}",
+        runs.len()
+    );
+    Ok(Verdict {
+        is_broken: most as f64 > bound,
+        text,
+    })
+}
