--- a/review/lab2.rs
+++ b/review/lab2.rs
@@ -13,7 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -33,6 +33,7 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["worker", options @ ..] => run_worker(options),
+        ["guard", folder] => run_guard(Path::new(folder)),
         ["run", case, folder] => {
             // A panic means that the case could not run.
             let run = || run_case(case, Path::new(folder));
@@ -55,6 +56,7 @@
         }
     };
     record.line(&format!("case {case}, trouble {with_trouble}"));
+    limit_run_time(&record);
     let outcome = match case {
         "uploads" => run_uploads(&record, with_trouble),
         "split" => run_deadly(&record, with_trouble, Deadly::AtEachService),
@@ -100,6 +102,59 @@
     }
 }
 
+/// Ends what a run has started and removes its folder, however the run ends: it keeps the ids of the processes that
+/// are alive, a line each, until its standard input is closed.
+fn run_guard(folder: &Path) {
+    let mut alive = BTreeSet::new();
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        match line.split_at(1) {
+            ("+", id) => alive.insert(id.to_string()),
+            (_, id) => alive.remove(id),
+        };
+    }
+    for id in alive {
+        let kill = format!("kill -KILL {id}");
+        let _ = Command::new("sh").arg("-c").arg(kill).status();
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// The guard of this run.
+static GUARD: OnceLock<Mutex<Child>> = OnceLock::new();
+
+fn start_guard(folder: &Path) -> Result<(), Failure> {
+    let guard = Command::new(std::env::current_exe().map_err(|e| e.to_string())?)
+        .arg("guard")
+        .arg(folder)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()
+        .map_err(|e| e.to_string())?;
+    let _ = GUARD.set(Mutex::new(guard));
+    Ok(())
+}
+
+/// Tells the guard that a process was started (`+`) or has been waited for (`-`).
+fn tell_guard(sign: char, process: u32) {
+    let Some(guard) = GUARD.get() else { return };
+    if let Some(stdin) = guard.lock().unwrap().stdin.as_mut() {
+        let _ = writeln!(stdin, "{sign}{process}").and_then(|()| stdin.flush());
+    }
+}
+
+/// A run that takes longer than this ends; its guard ends the rest.
+const RUN_TIME_MAX: Duration = Duration::from_secs(115);
+
+fn limit_run_time(record: &Record) {
+    let record = record.clone();
+    thread::spawn(move || {
+        thread::sleep(RUN_TIME_MAX);
+        record.line("COULD NOT RUN: it takes too long");
+        println!("COULD NOT RUN: it takes too long");
+        std::process::exit(2);
+    });
+}
+
 // Stand-in of the platform: addresses, settings files, processes.
 
 const ZONES: [&str; 4] = ["norte-a", "sul-a", "norte-b", "sul-b"];
@@ -121,6 +176,7 @@
     fn start(record: &Record, gateways: u8) -> Result<Deployment, Failure> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        start_guard(&folder)?;
         let (network, ports) = find_free_network()?;
         let mut deployment = Deployment {
             network,
@@ -201,6 +257,7 @@
             .stdin(Stdio::null())
             .spawn()
             .map_err(|e| format!("can't start {name}: {e}"))?;
+        tell_guard('+', child.id());
         self.record
             .line(&format!("platform starts {name}, process {}", child.id()));
         self.processes.insert(name, child);
@@ -266,6 +323,7 @@
         for child in self.processes.values_mut() {
             let _ = child.kill();
             let _ = child.wait();
+            tell_guard('-', child.id());
         }
         if std::env::var("KEEP_LOGS").is_err() {
             let _ = std::fs::remove_dir_all(&self.folder);
@@ -501,6 +559,8 @@
     got: Mutex<BTreeSet<String>>,
     /// Requests that began to run here, id first, with the time.
     runs: Mutex<Vec<(Instant, String)>>,
+    /// When the worker became cold.
+    cold_at: Mutex<Option<Instant>>,
     /// When requests crashed the process.
     crashes: Mutex<Vec<Instant>>,
 }
@@ -520,6 +580,7 @@
             is_stopped: AtomicBool::new(false),
             got: Mutex::default(),
             runs: Mutex::default(),
+            cold_at: Mutex::default(),
             crashes: Mutex::default(),
         });
         let operators: Vec<String> = operators.iter().map(SocketAddr::to_string).collect();
@@ -561,6 +622,7 @@
             .stdin(Stdio::piped())
             .spawn();
         let Ok(mut child) = started else { return };
+        tell_guard('+', child.id());
         let lines = BufReader::new(child.stdout.take().unwrap()).lines();
         record.line(&format!("worker {id} starts, {}", options[..2].join(" ")));
         *self.child.lock().unwrap() = Some(child);
@@ -580,6 +642,9 @@
                     .push((Instant::now(), run.to_string()));
             }
             record.line(&format!("worker {id} {line}"));
+            if line == "is cold" {
+                *self.cold_at.lock().unwrap() = Some(Instant::now());
+            }
             if line.starts_with("crashes ") {
                 self.crashes.lock().unwrap().push(Instant::now());
             }
@@ -591,6 +656,7 @@
         }
         if let Some(child) = self.child.lock().unwrap().as_mut() {
             let _ = child.wait();
+            tell_guard('-', child.id());
         }
     }
 
@@ -631,6 +697,9 @@
     mode: String,
     operators: Vec<SocketAddr>,
     running: AtomicUsize,
+    /// Requests that hold a slot; the others wait.
+    busy_slots: Mutex<usize>,
+    slot_freed: Condvar,
     /// Until when the worker is cold.
     cold_until: Mutex<Option<Instant>>,
 }
@@ -654,6 +723,8 @@
             .filter_map(|a| a.parse().ok())
             .collect(),
         running: AtomicUsize::new(0),
+        busy_slots: Mutex::new(0),
+        slot_freed: Condvar::new(),
         cold_until: Mutex::new(None),
     });
     let listener = TcpListener::bind(&worker.address).expect("the worker's address is free");
@@ -684,6 +755,8 @@
             .as_millis();
         let mut target = usize::from(last_byte(self.address.parse().unwrap()));
         let mut sequence = 0;
+        // The address that an answer named for later heartbeats; it holds until one fails there.
+        let mut named: Option<SocketAddr> = None;
         loop {
             sequence += 1;
             let cold_ms = self.cold_remaining().as_millis();
@@ -693,7 +766,8 @@
             );
             let mut is_acked = false;
             for _ in 0..self.operators.len() {
-                let address = self.operators[target % self.operators.len()];
+                let next = self.operators[target % self.operators.len()];
+                let address = named.unwrap_or(next);
                 let head = format!(
                     "POST /v1/instances/{}/heartbeat HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                     self.id,
@@ -702,9 +776,15 @@
                 let answer = send_once(address, &head, body.as_bytes(), Duration::from_secs(1));
                 if answer.status == Some(200) && answer.is_complete {
                     is_acked = true;
+                    let text = String::from_utf8_lossy(&answer.body).into_owned();
+                    let url = text.split("\"heartbeatUrl\":\"http://").nth(1);
+                    let host = url.and_then(|u| u.split('/').next()?.parse().ok());
+                    named = host.or(named);
                     break;
                 }
-                target += 1;
+                if named.take().is_none() {
+                    target += 1;
+                }
             }
             // A change of coldness is told at once, and a heartbeat that nobody acknowledged is sent again soon.
             let pause = if is_acked { HEARTBEAT } else { HEARTBEAT / 8 };
@@ -737,6 +817,18 @@
                 .unwrap_or("")
                 .to_string();
             let expected = header(&head, "carobreel-expect-instance");
+            let deadline_ms = header(&head, "carobreel-deadline-ms").and_then(|v| v.parse().ok());
+            let deadline = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(30_000));
+            if head.starts_with("GET /health ") {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nCarobreel-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
+                if writer.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             if id.is_empty() {
                 let text = format!(
                     "HTTP/1.1 400 Bad Request\r\nCarobreel-Not-Executed: 1\r\nCarobreel-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
@@ -761,13 +853,17 @@
                 continue;
             }
             let running = self.running.fetch_add(1, Ordering::SeqCst);
-            let is_answered = if running >= WORKER_SLOTS + WORKER_QUEUE {
+            let is_full = running >= WORKER_SLOTS + WORKER_QUEUE;
+            let is_answered = if is_full || !self.take_slot(deadline) {
                 let text = format!(
                     "HTTP/1.1 503 Service Unavailable\r\nCarobreel-Request-Id: {id}\r\nCarobreel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 );
                 writer.write_all(text.as_bytes()).is_ok()
             } else {
-                self.run(&id, &head, &body, &mut writer)
+                let is_answered = self.run(&id, &head, &body, deadline, &mut writer);
+                *self.busy_slots.lock().unwrap() -= 1;
+                self.slot_freed.notify_one();
+                is_answered
             };
             self.running.fetch_sub(1, Ordering::SeqCst);
             if !is_answered {
@@ -776,8 +872,29 @@
         }
     }
 
-    /// Runs a request and reports whether the answer was written.
-    fn run(&self, id: &str, head: &str, body: &[u8], writer: &mut TcpStream) -> bool {
+    /// Waits for a slot until the deadline, and reports whether there was one.
+    fn take_slot(&self, deadline: Instant) -> bool {
+        let mut busy = self.busy_slots.lock().unwrap();
+        while *busy >= WORKER_SLOTS {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            busy = self.slot_freed.wait_timeout(busy, left).unwrap().0;
+        }
+        *busy += 1;
+        true
+    }
+
+    /// Runs a request until the deadline at most, and reports whether the answer was written.
+    fn run(
+        &self,
+        id: &str,
+        head: &str,
+        body: &[u8],
+        deadline: Instant,
+        writer: &mut TcpStream,
+    ) -> bool {
         let target = head.split_whitespace().nth(1).unwrap_or("");
         say(&format!("runs {id} {target} {} bytes", body.len()));
         let is_deadly = target.contains("/deadly");
@@ -790,7 +907,15 @@
             let stop = format!("kill -STOP {}", std::process::id());
             let _ = Command::new("sh").arg("-c").arg(stop).status();
         }
-        thread::sleep(WORK_TIME);
+        let left = deadline.saturating_duration_since(Instant::now());
+        thread::sleep(WORK_TIME.min(left));
+        if left < WORK_TIME {
+            let text = format!(
+                "HTTP/1.1 504 Gateway Timeout\r\nCarobreel-Request-Id: {id}\r\nCarobreel-Server-Stamp: {}.{id}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
+            return writer.write_all(text.as_bytes()).is_ok();
+        }
         let size = match target.contains("/large") {
             true => LARGE_ANSWER_BYTES,
             false => 200,
@@ -962,9 +1087,11 @@
         Deadly::Silently => Duration::from_millis(3_000),
         Deadly::AtEachService | Deadly::WhileAnswering => Duration::from_millis(2_000),
     };
+    // One of eight is off at a time where they fall silent: less than the share of 0.14.
+    let workers = if deadly == Deadly::Silently { 8 } else { 4 };
     for (n, service) in services.iter().enumerate() {
-        for k in 0..4 {
-            let host = 11 + 4 * n as u8 + k;
+        for k in 0..workers {
+            let host = 11 + workers * n as u8 + k;
             deployment.start_worker(service, host, mode, back_after);
         }
     }
@@ -1104,6 +1231,7 @@
             let mut child = deployment.processes.remove("gateway-101").unwrap();
             let _ = child.kill();
             let _ = child.wait();
+            tell_guard('-', child.id());
             thread::sleep(RESTART_DELAY);
             deployment.spawn("gateway", 101)?;
         }
@@ -1210,13 +1338,16 @@
             let (callers, is_stopped) = (deployment.callers(1 + n % gateways), is_stopped.clone());
             thread::spawn(move || {
                 let mut counts = BTreeMap::new();
+                let mut sent_at = BTreeMap::new();
                 while !is_stopped.load(Ordering::SeqCst) {
-                    let head = get_head("/offers/usual", &request_id(), 2_500);
+                    let id = request_id();
+                    let head = get_head("/offers/usual", &id, 2_500);
+                    sent_at.insert(id, Instant::now());
                     let answer = send_once(callers, &head, b"", Duration::from_secs(3));
                     *counts.entry(answer.status).or_insert(0) += 1;
                     thread::sleep(Duration::from_millis(30));
                 }
-                counts
+                (counts, sent_at)
             })
         })
         .collect();
@@ -1228,6 +1359,7 @@
             let mut child = deployment.processes.remove(&name).unwrap();
             let _ = child.kill();
             let _ = child.wait();
+            tell_guard('-', child.id());
         }
         thread::sleep(Duration::from_millis(100));
     }
@@ -1241,21 +1373,32 @@
         }
     }
     thread::sleep(COLD_TIME.saturating_sub(cold_at.elapsed()));
-    let cold_until = Instant::now();
     is_stopped.store(true, Ordering::SeqCst);
     let mut answers: BTreeMap<Option<u16>, usize> = BTreeMap::new();
+    let mut sent_at: BTreeMap<String, Instant> = BTreeMap::new();
     for client in clients {
-        for (status, count) in client.join().map_err(|_| "a client failed".to_string())? {
+        let (counts, sent) = client.join().map_err(|_| "a client failed".to_string())?;
+        for (status, count) in counts {
             *answers.entry(status).or_default() += count;
         }
+        sent_at.extend(sent);
     }
+    let cold_at = worker
+        .cold_at
+        .lock()
+        .unwrap()
+        .ok_or("the worker did not become cold")?;
     let runs = worker.runs.lock().unwrap();
-    let is_cold = |at: &Instant| *at >= cold_at && *at < cold_until;
-    let runs: Vec<Instant> = runs.iter().map(|(at, _)| *at).filter(is_cold).collect();
-    let in_second = |first: &Instant| {
-        let span = Duration::from_secs(1);
+    // When each request was sent by its client, and when it arrived.
+    let runs: Vec<(Instant, Instant)> = runs
+        .iter()
+        .filter(|(at, _)| *at >= cold_at && *at < cold_at + COLD_TIME)
+        .filter_map(|(at, run)| Some((*sent_at.get(run.split_whitespace().next()?)?, *at)))
+        .collect();
+    let in_second = |first: &(Instant, Instant)| {
+        let end = first.0 + Duration::from_secs(1);
         runs.iter()
-            .filter(|at| **at >= *first && **at - *first < span)
+            .filter(|(sent, at)| *sent >= first.0 && *at < end)
             .count()
     };
     let most = runs.iter().map(in_second).max().unwrap_or(0);
